--- /dev/null
+++ b/Source/Fleet/decision_log.cc
@@ -0,0 +1,85 @@
+#include "Fleet/decision_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+/// Lines of one kind of event in a second; twice the starts of a busy owner.
+constexpr std::int64_t kLinesPerSecond = 400;
+/// A pipe that reports room takes this much without waiting (POSIX PIPE_BUF).
+constexpr std::size_t kWriteBytes = 4096;
+constexpr std::size_t kBufferBytes = 256UL << 10;
+/// Writes of one flush, so that a flush takes a bounded time.
+constexpr int kWritesPerFlush = 16;
+
+std::string_view LevelOf(Severity severity) {
+  switch (severity) {
+    case Severity::kInfo:
+      return "INFO";
+    case Severity::kWarn:
+      return "WARN";
+    case Severity::kError:
+      return "ERROR";
+  }
+  return "INFO";
+}
+
+}  // namespace
+
+void DecisionLog::Write(const LogLine& line, const Moment& at) {
+  Bucket& bucket = buckets_[line.event];
+  if (at.now >= bucket.second_ends) {
+    if (bucket.left_out > 0) {
+      Append({.severity = Severity::kWarn,
+              .event = "log_limited",
+              .fields = {{"of", line.event},
+                         {"left_out", std::to_string(bucket.left_out)}}},
+             at);
+    }
+    bucket = {.second_ends = at.now + std::chrono::seconds(1)};
+  }
+  if (bucket.lines >= kLinesPerSecond) {
+    ++bucket.left_out;
+    ++left_out_;
+    return;
+  }
+  ++bucket.lines;
+  Append(line, at);
+}
+
+void DecisionLog::Append(const LogLine& line, const Moment& at) {
+  nlohmann::ordered_json json = {{"unix_ms", at.unix_ms},
+                                 {"level", LevelOf(line.severity)},
+                                 {"node", node_},
+                                 {"event", line.event}};
+  for (const auto& [name, value] : line.fields) json[name] = value;
+  const std::string text =
+      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (buffer_.size() + text.size() + 1 > kBufferBytes) {
+    ++left_out_;
+    return;
+  }
+  buffer_ += text;
+  buffer_ += '\n';
+  ++lines_;
+}
+
+void DecisionLog::Flush() {
+  for (int n = 0; n < kWritesPerFlush && !buffer_.empty(); ++n) {
+    pollfd poll_fd{.fd = descriptor_, .events = POLLOUT, .revents = 0};
+    const bool ready =
+        poll(&poll_fd, 1, 0) == 1 && (poll_fd.revents & POLLOUT) != 0;
+    if (!ready) return;
+    const std::size_t size = std::min(buffer_.size(), kWriteBytes);
+    const ssize_t written = write(descriptor_, buffer_.data(), size);
+    if (written <= 0) return;
+    buffer_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Fleet/entry_host.cc
@@ -0,0 +1,353 @@
+#include "Fleet/entry_host.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <ctime>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Http/json_response.h"
+#include "Model/text.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kJobPath = "/v1/jobs/";
+constexpr std::string_view kWaitingPath = "/v1/waiting/";
+/// A question to the owner; the store is asked when it gets no answer.
+constexpr Duration kAskTimeout = milliseconds(350);
+/// Bodies of jobs: up to 100 steps and a payload of 4000 bytes.
+constexpr std::size_t kMaxBodyBytes = 256UL << 10;
+constexpr std::int64_t kRequestTimeoutMs = 3000;
+constexpr std::int64_t kMaxConnections = 1500;
+/// The load balancer takes up to 2 s to send new connections elsewhere.
+constexpr Duration kStopAfterQuiet = milliseconds(400);
+constexpr Duration kStopNotBefore = milliseconds(2600);
+constexpr Duration kLongestTurn = milliseconds(100);
+
+HttpServerLimits CallerLimits() {
+  return {.max_body_bytes = kMaxBodyBytes,
+          .request_timeout_ms = kRequestTimeoutMs,
+          .max_connections = kMaxConnections};
+}
+
+std::string SystemOf(const TargetOrder& order) {
+  switch (order.kind) {
+    case OrderKind::kHold:
+      return "target_hold";
+    case OrderKind::kStart:
+      return "target_start";
+    case OrderKind::kStop:
+      return "target_stop";
+    case OrderKind::kPace:
+      return "target_pace";
+  }
+  return "target";
+}
+
+std::string ToText(StoreStatus status) {
+  switch (status) {
+    case StoreStatus::kOk:
+      return "ok";
+    case StoreStatus::kConflict:
+      return "conflict";
+    case StoreStatus::kUnavailable:
+      return "unavailable";
+    case StoreStatus::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+OwnerReply ParseOwnerReply(AskKind kind, TransferResult result,
+                           const HttpResponse& response) {
+  OwnerReply reply;
+  if (result != TransferResult::kComplete || response.status != 200) {
+    return reply;
+  }
+  const auto json = nlohmann::json::parse(response.body, nullptr, false);
+  if (!json.is_object()) return reply;
+  if (kind == AskKind::kJobState) {
+    const auto state = json.find("state");
+    if (state == json.end()) return reply;
+    reply.answered = true;
+    if (state->is_string())
+      reply.state = ParseJobState(state->get<std::string>());
+  } else {
+    const auto waiting = json.find("waiting");
+    if (waiting == json.end() || !waiting->is_number_integer()) return reply;
+    reply.answered = true;
+    reply.waiting = waiting->get<std::int64_t>();
+  }
+  return reply;
+}
+
+}  // namespace
+
+EntryHost::EntryHost(EventLoop& loop, const EntryHostSettings& settings,
+                     Backend& backend, const CallCodec& codec)
+    : loop_(loop),
+      settings_(settings),
+      backend_(backend),
+      codec_(codec),
+      log_(STDOUT_FILENO, settings.node),
+      peers_(loop, HttpClientLimits{}),
+      caller_server_(
+          loop, CallerLimits(),
+          [this](const HttpRequest& request, const Responder& responder) {
+            ServeCaller(request, responder);
+          }),
+      readiness_server_(
+          loop, HttpServerLimits{},
+          [this](const HttpRequest&, const Responder& responder) {
+            responder.Send({.status = IsServing(entry_) ? 200 : 503});
+          }),
+      peer_server_(
+          loop, HttpServerLimits{},
+          [this](const HttpRequest& request, const Responder& responder) {
+            ServePeer(request, responder);
+          }),
+      metrics_server_(
+          loop, HttpServerLimits{},
+          [this](const HttpRequest&, const Responder& responder) {
+            metrics_.log_lines = log_.lines();
+            metrics_.log_left_out = log_.left_out();
+            responder.Send(
+                {.status = 200,
+                 .headers = {{"content-type", "text/plain; version=0.0.4"}},
+                 .body = FormatMetrics(metrics_, entry_)});
+          }) {
+  entry_.terms = settings.terms;
+  entry_.self = {.holder = settings.holder,
+                 .address = ToString(settings.peers)};
+}
+
+absl::Status EntryHost::Start() {
+  absl::Status status = peer_server_.Listen(settings_.peers);
+  status.Update(metrics_server_.Listen(settings_.metrics));
+  status.Update(readiness_server_.Listen(settings_.readiness));
+  status.Update(caller_server_.Listen(settings_.callers));
+  if (!status.ok()) return status;
+  Log(Severity::kInfo, "started",
+      {{"callers", ToString(settings_.callers)},
+       {"peers", ToString(settings_.peers)},
+       {"holder", settings_.holder}});
+  return absl::OkStatus();
+}
+
+Moment EntryHost::Now() const {
+  timespec ts{};
+  clock_gettime(CLOCK_BOOTTIME, &ts);
+  const auto since = std::chrono::seconds(ts.tv_sec) +
+                     std::chrono::duration_cast<Duration>(
+                         std::chrono::nanoseconds(ts.tv_nsec));
+  const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+  return {
+      .now = Instant(since),
+      .unix_ms = std::chrono::duration_cast<milliseconds>(unix_time).count()};
+}
+
+void EntryHost::Log(Severity severity, std::string event,
+                    std::vector<std::pair<std::string, std::string>> fields) {
+  log_.Write({.severity = severity,
+              .event = std::move(event),
+              .fields = std::move(fields)},
+             Now());
+}
+
+void EntryHost::RunOnce() {
+  Moment at = Now();
+  if (next_tick_ <= at.now) {
+    Effects effects;
+    OnTick(entry_, at, effects);
+    Execute(std::move(effects));
+  }
+  at = Now();
+  next_tick_ = NextTick(entry_, at.now);
+  log_.Flush();
+  const Duration wait = std::min(Remaining(next_tick_, at.now), kLongestTurn);
+  loop_.RunOnce(SteadyNow() + wait);
+}
+
+void EntryHost::RequestStop() {
+  if (stop_by_.has_value()) return;
+  const Moment at = Now();
+  Log(Severity::kInfo, "stop_requested",
+      {{"calls_open", std::to_string(waiting_.size())},
+       {"owner", entry_.owner.has_value() ? "yes" : "no"}});
+  stop_by_ = at.now + settings_.stop_within;
+  quiet_since_ = at.now + kStopNotBefore;
+  Effects effects;
+  OnStop(entry_, at, effects);
+  Execute(std::move(effects));
+}
+
+bool EntryHost::IsStopped() const {
+  if (!stop_by_.has_value()) return false;
+  const Instant now = Now().now;
+  if (now >= *stop_by_) return true;
+  return waiting_.empty() && !entry_.owner.has_value() &&
+         now >= quiet_since_ + kStopAfterQuiet;
+}
+
+void EntryHost::Reload(const Terms& terms) {
+  const bool changed = terms != entry_.terms;
+  entry_.terms = terms;
+  Log(Severity::kInfo, "settings_reloaded",
+      {{"changed", changed ? "yes" : "no"}});
+}
+
+void EntryHost::ServeCaller(const HttpRequest& request,
+                            const Responder& responder) {
+  const Moment at = Now();
+  Call call = codec_.Decode(request);
+  call.number = next_call_++;
+  const std::int64_t number = call.number;
+  if (stop_by_.has_value()) quiet_since_ = std::max(quiet_since_, at.now);
+  Waiting waiting{.call = call, .responder = responder, .arrived = at.now};
+  waiting.call.spec.reset();
+  waiting_.emplace(number, std::move(waiting));
+  responder.OnGone([this, number] {
+    if (waiting_.erase(number) > 0) OnCallerGone(entry_, number);
+  });
+  Effects effects;
+  OnCall(entry_, std::move(call), at, effects);
+  Execute(std::move(effects));
+}
+
+void EntryHost::ServePeer(const HttpRequest& request,
+                          const Responder& responder) {
+  std::string_view path = request.path;
+  if (ConsumePrefix(path, kJobPath)) {
+    const OwnerReply reply =
+        AnswerPeer(entry_, AskKind::kJobState, std::string(path));
+    if (!reply.answered) return responder.Send(ErrorResponse(503, "not owner"));
+    const nlohmann::json state =
+        reply.state.has_value()
+            ? nlohmann::json(std::string(ToString(*reply.state)))
+            : nlohmann::json();
+    return responder.Send(JsonResponse(200, {{"state", state}}));
+  }
+  if (ConsumePrefix(path, kWaitingPath)) {
+    const OwnerReply reply =
+        AnswerPeer(entry_, AskKind::kWaiting, std::string(path));
+    if (!reply.answered) return responder.Send(ErrorResponse(503, "not owner"));
+    return responder.Send(JsonResponse(200, {{"waiting", reply.waiting}}));
+  }
+  responder.Send(ErrorResponse(404, "no such resource"));
+}
+
+void EntryHost::Execute(Effects effects) {
+  for (const Effect& it : effects) Execute(it);
+  next_tick_ = std::min(next_tick_, NextTick(entry_, Now().now));
+}
+
+void EntryHost::Execute(const Effect& effect) {
+  const Instant sent = Now().now;
+  const auto store_reply = [this, sent](std::int64_t id, std::string system) {
+    return [this, sent, id, system = std::move(system)](const StoreRows& rows) {
+      const Moment at = Now();
+      RecordReply(metrics_, system, ToText(rows.status), at.now - sent);
+      Effects effects;
+      OnStoreReply(entry_, id, rows, at, effects);
+      Execute(std::move(effects));
+    };
+  };
+  if (const auto* read = std::get_if<ReadRows>(&effect)) {
+    backend_.Read(*read, store_reply(read->id, "store_read"));
+  } else if (const auto* watch = std::get_if<WatchRows>(&effect)) {
+    backend_.Watch(*watch, store_reply(watch->id, "store_watch"));
+  } else if (const auto* commit = std::get_if<CommitRows>(&effect)) {
+    backend_.Commit(*commit, store_reply(commit->id, "store_commit"));
+  } else if (const auto* order = std::get_if<TargetOrder>(&effect)) {
+    backend_.Order(
+        *order, [this, sent, id = order->id,
+                 system = SystemOf(*order)](const OrderReply& reply) {
+          const Moment at = Now();
+          RecordReply(metrics_, system, std::string(ToString(reply.result)),
+                      at.now - sent);
+          Effects effects;
+          OnOrderReply(entry_, id, reply, at, effects);
+          Execute(std::move(effects));
+        });
+  } else if (const auto* approval = std::get_if<ApprovalRequest>(&effect)) {
+    backend_.Approve(
+        *approval, [this, sent, id = approval->id](const ApprovalReply& reply) {
+          const Moment at = Now();
+          RecordReply(metrics_, "approval", reply.answered ? "ok" : "none",
+                      at.now - sent);
+          Effects effects;
+          OnApproval(entry_, id, reply, at, effects);
+          Execute(std::move(effects));
+        });
+  } else if (const auto* list = std::get_if<ListHosts>(&effect)) {
+    backend_.List(*list, [this, sent, id = list->id](const HostList& hosts) {
+      const Moment at = Now();
+      RecordReply(metrics_, "host_list", hosts.answered ? "ok" : "none",
+                  at.now - sent);
+      Effects effects;
+      OnHosts(entry_, id, hosts, at, effects);
+      Execute(std::move(effects));
+    });
+  } else if (const auto* host = std::get_if<HostOrder>(&effect)) {
+    backend_.Order(*host, [this, sent, id = host->id](HostResult result) {
+      const Moment at = Now();
+      RecordReply(metrics_, "host_order", std::string(ToString(result)),
+                  at.now - sent);
+      Effects effects;
+      OnHostReply(entry_, id, result, at, effects);
+      Execute(std::move(effects));
+    });
+  } else if (const auto* ask = std::get_if<AskOwner>(&effect)) {
+    Ask(*ask);
+  } else if (const auto* answer = std::get_if<CallAnswered>(&effect)) {
+    Answer(*answer);
+  } else if (const auto* line = std::get_if<LogLine>(&effect)) {
+    log_.Write(*line, Now());
+  }
+}
+
+void EntryHost::Ask(const AskOwner& ask) {
+  const auto reply = [this, sent = Now().now, id = ask.id, kind = ask.kind](
+                         TransferResult result, const HttpResponse& response) {
+    const Moment at = Now();
+    const OwnerReply parsed = ParseOwnerReply(kind, result, response);
+    RecordReply(metrics_, "owner", parsed.answered ? "ok" : "none",
+                at.now - sent);
+    Effects effects;
+    OnOwnerReply(entry_, id, parsed, at, effects);
+    Execute(std::move(effects));
+  };
+  absl::StatusOr<Address> address = ParseAddress(ask.address);
+  if (!address.ok()) {
+    Log(Severity::kError, "owner_address_unreadable",
+        {{"address", ask.address}});
+    loop_.Defer([reply] { reply(TransferResult::kNotConnected, {}); });
+    return;
+  }
+  const std::string_view prefix =
+      ask.kind == AskKind::kJobState ? kJobPath : kWaitingPath;
+  peers_.Send({.address = *address,
+               .request = {.method = "GET", .path = StrCat(prefix, ask.key)},
+               .deadline = SteadyNow() + kAskTimeout},
+              reply);
+}
+
+void EntryHost::Answer(const CallAnswered& answer) {
+  auto it = waiting_.find(answer.call);
+  if (it == waiting_.end()) return;
+  const Waiting waiting = std::move(it->second);
+  waiting_.erase(it);
+  const Instant now = Now().now;
+  RecordCall(metrics_, waiting.call.kind, answer.outcome,
+             now - waiting.arrived);
+  if (stop_by_.has_value()) quiet_since_ = std::max(quiet_since_, now);
+  HttpResponse response = codec_.Encode(waiting.call, answer);
+  response.close_connection = stop_by_.has_value();
+  waiting.responder.Send(response);
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Fleet/entry_host.h
@@ -0,0 +1,95 @@
+#ifndef HYSSOPBARROW_FLEET_ENTRY_HOST_H_
+#define HYSSOPBARROW_FLEET_ENTRY_HOST_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "Fleet/backend.h"
+#include "Fleet/decision_log.h"
+#include "Fleet/fleet_metrics.h"
+#include "Http/event_loop.h"
+#include "Http/http_client.h"
+#include "Http/http_server.h"
+#include "Policy/entry.h"
+#include "absl/status/status.h"
+
+namespace hyssopbarrow::fleet {
+
+/// Addresses and figures of one entry host.
+struct EntryHostSettings {
+  std::string node;
+  std::string holder;  ///< Differs between two lives of the node.
+  Address callers;
+  Address readiness;
+  Address peers;
+  Address metrics;
+  Duration stop_within{};  ///< A stop ends the process by then.
+  Terms terms;
+
+  friend bool operator==(const EntryHostSettings&,
+                         const EntryHostSettings&) = default;
+};
+
+/// Turns I/O into events of the decision core and its effects into I/O.
+class EntryHost {
+ public:
+  EntryHost(EventLoop& loop, const EntryHostSettings& settings,
+            Backend& backend, const CallCodec& codec);
+
+  /// Opens the listeners.
+  /// Errors: kUnavailable when an address cannot be bound.
+  absl::Status Start();
+
+  /// One turn of the loop with all that is due.
+  void RunOnce();
+
+  /// Hands over what this host owns and finishes the calls at hand.
+  void RequestStop();
+  bool IsStopped() const;
+
+  /// Takes over changed figures.
+  void Reload(const Terms& terms);
+
+  const Entry& entry() const { return entry_; }
+
+ private:
+  struct Waiting {
+    Call call;
+    Responder responder;
+    Instant arrived;
+  };
+
+  Moment Now() const;
+  void Log(Severity severity, std::string event,
+           std::vector<std::pair<std::string, std::string>> fields);
+  void ServeCaller(const HttpRequest& request, const Responder& responder);
+  void ServePeer(const HttpRequest& request, const Responder& responder);
+  void Execute(Effects effects);
+  void Execute(const Effect& effect);
+  void Ask(const AskOwner& ask);
+  void Answer(const CallAnswered& answer);
+
+  EventLoop& loop_;
+  EntryHostSettings settings_;
+  Backend& backend_;
+  const CallCodec& codec_;
+  DecisionLog log_;
+  FleetMetrics metrics_;
+  Entry entry_;
+  HttpClient peers_;
+  HttpServer caller_server_;
+  HttpServer readiness_server_;
+  HttpServer peer_server_;
+  HttpServer metrics_server_;
+  std::map<std::int64_t, Waiting> waiting_;
+  std::int64_t next_call_ = 1;
+  Instant next_tick_{};
+  std::optional<Instant> stop_by_;
+  Instant quiet_since_{};
+};
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_FLEET_ENTRY_HOST_H_
--- /dev/null
+++ b/Source/Fleet/fleet_metrics.h
@@ -0,0 +1,37 @@
+#ifndef HYSSOPBARROW_FLEET_FLEET_METRICS_H_
+#define HYSSOPBARROW_FLEET_FLEET_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "Metrics/exposition.h"
+#include "Model/time.h"
+#include "Policy/entry.h"
+
+namespace hyssopbarrow::fleet {
+
+/// Counts and latencies that one entry host has seen since its start.
+struct FleetMetrics {
+  std::map<std::pair<std::string, std::string>, std::int64_t>
+      calls;                                           ///< By kind and outcome.
+  std::map<std::string, LatencySeries> call_seconds;   ///< By kind of call.
+  std::map<std::string, LatencySeries> reply_seconds;  ///< By system asked.
+  std::map<std::pair<std::string, std::string>, std::int64_t>
+      replies;  ///< By system and result.
+  std::int64_t log_lines = 0;
+  std::int64_t log_left_out = 0;
+};
+
+void RecordCall(FleetMetrics& metrics, CallKind kind, CallOutcome outcome,
+                Duration taken);
+void RecordReply(FleetMetrics& metrics, const std::string& system,
+                 const std::string& result, Duration taken);
+
+/// Text in the exposition format of Prometheus, version 0.0.4.
+std::string FormatMetrics(const FleetMetrics& metrics, const Entry& entry);
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_FLEET_FLEET_METRICS_H_
--- a/Source/Http/http_server.cc
+++ b/Source/Http/http_server.cc
@@ -31,6 +31,7 @@
   HttpRequest request;
   request.method = ToText(req->method);
   request.path = ToText(req->path_normalized);
+  request.authority = ToText(req->authority);
   if (req->query_at != SIZE_MAX) {
     request.query.assign(req->path.base + req->query_at + 1,
                          req->path.len - req->query_at - 1);
--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -27,6 +27,7 @@
   std::string method;
   std::string path;  ///< Normalised, without the query.
   std::string query;
+  std::string authority;  ///< The Host header; not sent by the client.
   std::vector<HttpHeader> headers;
   std::string body;
 };
--- a/Source/Metrics/call_metrics.h
+++ b/Source/Metrics/call_metrics.h
@@ -1,7 +1,6 @@
 #ifndef HYSSOPBARROW_METRICS_CALL_METRICS_H_
 #define HYSSOPBARROW_METRICS_CALL_METRICS_H_
 
-#include <boost/histogram.hpp>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "Metrics/exposition.h"
 #include "Model/outcome.h"
 #include "Model/time.h"
 
@@ -27,21 +27,11 @@
   friend bool operator==(const CallRecord&, const CallRecord&) = default;
 };
 
-/// Seconds on a logarithmic axis.
-using LatencyHistogram = decltype(boost::histogram::make_histogram_with(
-    std::vector<std::uint64_t>(),
-    boost::histogram::axis::regular<double,
-                                    boost::histogram::axis::transform::log>()));
-
 /// Counts and latencies of one queue.
 struct QueueMetrics {
-  QueueMetrics();
-
   std::map<std::pair<Outcome, Reason>, std::int64_t> ended;
-  LatencyHistogram start_seconds;
-  LatencyHistogram total_seconds;
-  double start_seconds_sum = 0;
-  double total_seconds_sum = 0;
+  LatencySeries start_seconds;
+  LatencySeries total_seconds;
 };
 
 /// All that one entry host measured since it started.
--- /dev/null
+++ b/Source/Policy/job_table.cc
@@ -0,0 +1,192 @@
+#include "Policy/job_table.h"
+
+#include <algorithm>
+
+#include "Model/text.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+/// Estimate of a task whose caller gave none.
+constexpr std::int64_t kDefaultEstimateMs = 1000;
+
+std::size_t At(std::int64_t n) { return static_cast<std::size_t>(n); }
+
+std::int64_t EstimateMs(const Step& step) {
+  return step.estimate_ms > 0 ? step.estimate_ms : kDefaultEstimateMs;
+}
+
+/// Longest chain in which step `n` takes `cost(n)`.
+template <typename Cost>
+std::int64_t LongestChain(const JobSpec& spec, const Cost& cost) {
+  std::vector<std::int64_t> until(spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+    std::int64_t before = 0;
+    for (const std::int64_t it : spec.steps[n].depends_on) {
+      before = std::max(before, until[At(it)]);
+    }
+    until[n] = before + cost(n);
+    longest = std::max(longest, until[n]);
+  }
+  return longest;
+}
+
+std::string DoneBits(const StepProgress& step) {
+  std::string bits;
+  for (const Task& it : step.tasks) bits += it.done ? '1' : '0';
+  return bits;
+}
+
+}  // namespace
+
+Occurrence NewOccurrence(const JobSpec& spec, Instant due) {
+  Occurrence occurrence;
+  occurrence.due = due;
+  for (const Step& it : spec.steps) {
+    occurrence.steps.push_back({.tasks = std::vector<Task>(At(it.count))});
+  }
+  return occurrence;
+}
+
+Task* FindTask(Job& job, const TaskName& name) {
+  auto it = job.open.find(name.occurrence);
+  if (it == job.open.end() || name.step < 0 || name.index < 0) return nullptr;
+  std::vector<StepProgress>& steps = it->second.steps;
+  if (At(name.step) >= steps.size()) return nullptr;
+  std::vector<Task>& tasks = steps[At(name.step)].tasks;
+  return At(name.index) < tasks.size() ? &tasks[At(name.index)] : nullptr;
+}
+
+const Step& StepOf(const Job& job, std::int64_t step) {
+  return job.record.spec.steps[At(step)];
+}
+
+bool IsReady(const Job& job, const Occurrence& occurrence, std::int64_t step) {
+  const std::vector<std::int64_t>& needs = StepOf(job, step).depends_on;
+  return std::all_of(needs.begin(), needs.end(), [&](std::int64_t it) {
+    const StepProgress& before = occurrence.steps[At(it)];
+    return before.done == static_cast<std::int64_t>(before.tasks.size());
+  });
+}
+
+bool MarkDone(Job& job, const TaskName& name) {
+  Task* task = FindTask(job, name);
+  if (task == nullptr || task->done) return false;
+  StepProgress& step = job.open[name.occurrence].steps[At(name.step)];
+  if (StepOf(job, name.step).gang) {
+    for (Task& it : step.tasks) it.done = true;
+    step.done = static_cast<std::int64_t>(step.tasks.size());
+  } else {
+    task->done = true;
+    ++step.done;
+  }
+  job.changed = true;
+  return true;
+}
+
+void CloseIfComplete(Job& job, std::int64_t occurrence) {
+  auto it = job.open.find(occurrence);
+  if (it == job.open.end()) return;
+  for (const StepProgress& step : it->second.steps) {
+    if (step.done < static_cast<std::int64_t>(step.tasks.size())) return;
+  }
+  job.finished.insert(occurrence);
+  job.open.erase(it);
+  job.changed = true;
+  const std::int64_t wanted =
+      std::max<std::int64_t>(1, job.record.spec.repeats);
+  if (static_cast<std::int64_t>(job.finished.size()) >= wanted) {
+    job.state = JobState::kCompleted;
+  }
+}
+
+std::int64_t RemainingChainMs(const Job& job, const Occurrence& occurrence) {
+  const JobSpec& spec = job.record.spec;
+  return LongestChain(spec, [&](std::size_t n) -> std::int64_t {
+    const StepProgress& step = occurrence.steps[n];
+    const bool complete =
+        step.done == static_cast<std::int64_t>(step.tasks.size());
+    return complete ? 0 : EstimateMs(spec.steps[n]);
+  });
+}
+
+std::int64_t WholeChainMs(const JobSpec& spec) {
+  return LongestChain(spec, [&](std::size_t n) -> std::int64_t {
+    return EstimateMs(spec.steps[n]);
+  });
+}
+
+nlohmann::json ProgressRow(const Job& job) {
+  nlohmann::json row = {{"state", ToString(job.state)},
+                        {"has_run", job.has_run}};
+  if (IsFinal(job.state)) return row;
+  if (!job.finished.empty()) row["finished"] = job.finished;
+  for (const auto& [number, occurrence] : job.open) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const StepProgress& step = occurrence.steps[s];
+      const std::string name = StrCat(number, ".", s);
+      if (step.done > 0) row["done"][name] = DoneBits(step);
+      for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+        const Task& task = step.tasks[n];
+        if (task.done) continue;
+        if (task.failures > 0) {
+          row["failures"][StrCat(name, ".", n)] = task.failures;
+        }
+        if (!task.checkpoint.empty()) {
+          row["saved"][StrCat(name, ".", n)] = task.checkpoint;
+        }
+      }
+    }
+  }
+  return row;
+}
+
+absl::Status ApplyProgress(const nlohmann::json& row, Instant now, Job& job) {
+  const auto task_at = [&](const std::string& name) -> Task* {
+    const auto parsed = ParseTaskName(StrCat(job.record.id, ".", name));
+    if (!parsed.has_value()) return nullptr;
+    job.open.try_emplace(parsed->occurrence,
+                         NewOccurrence(job.record.spec, now));
+    return FindTask(job, *parsed);
+  };
+  try {
+    const auto state = ParseJobState(row.at("state").get<std::string>());
+    if (!state.has_value()) {
+      return absl::InvalidArgumentError("field 'state' is not known");
+    }
+    job.state = *state;
+    job.has_run = row.value("has_run", false);
+    if (row.contains("finished")) row["finished"].get_to(job.finished);
+    for (const auto& [name, bits] :
+         row.value("done", nlohmann::json::object()).items()) {
+      const auto text = bits.get<std::string>();
+      for (std::size_t n = 0; n < text.size(); ++n) {
+        Task* task = task_at(StrCat(name, ".", n));
+        if (task == nullptr) {
+          return absl::InvalidArgumentError("field 'done' names no task");
+        }
+        task->done = text[n] == '1';
+      }
+    }
+    for (const auto& [name, n] :
+         row.value("failures", nlohmann::json::object()).items()) {
+      if (Task* task = task_at(name)) n.get_to(task->failures);
+    }
+    for (const auto& [name, saved] :
+         row.value("saved", nlohmann::json::object()).items()) {
+      if (Task* task = task_at(name)) saved.get_to(task->checkpoint);
+    }
+  } catch (const nlohmann::json::exception& e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+  for (auto& [number, occurrence] : job.open) {
+    for (StepProgress& step : occurrence.steps) {
+      step.done = std::count_if(step.tasks.begin(), step.tasks.end(),
+                                [](const Task& it) { return it.done; });
+    }
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Policy/job_table.h
@@ -0,0 +1,89 @@
+#ifndef HYSSOPBARROW_POLICY_JOB_TABLE_H_
+#define HYSSOPBARROW_POLICY_JOB_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Model/job.h"
+#include "Model/time.h"
+#include "Policy/fleet_effects.h"
+
+namespace hyssopbarrow::fleet {
+
+/// One task as its owner knows it.
+struct Task {
+  bool done = false;
+  std::int64_t failures = 0;
+  std::string checkpoint;
+  std::int64_t last_run = 0;         ///< Highest run number known.
+  std::vector<std::string> targets;  ///< Where runs of it are.
+  Instant not_before{};
+  /// Until then a run may exist on a target that the owner cannot reach.
+  Instant unknown_until{};
+  std::set<std::string> failed_on;  ///< Targets where it failed.
+};
+
+struct StepProgress {
+  std::vector<Task> tasks;
+  std::int64_t done = 0;
+};
+
+/// One timed run of a job, or the only run.
+struct Occurrence {
+  std::vector<StepProgress> steps;
+  Instant due{};
+};
+
+/// A job as its owner knows it.
+struct Job {
+  JobRecord record;
+  JobState state = JobState::kPending;
+  std::map<std::int64_t, Occurrence> open;  ///< Occurrences that have begun.
+  std::set<std::int64_t> finished;          ///< Occurrences that are complete.
+  Instant accepted{};
+  bool has_run = false;       ///< A task of it was started.
+  bool changed = false;       ///< The progress row is behind.
+  bool final_stored = false;  ///< The final state is in the store.
+  std::int64_t row_revision = 0;
+  Instant final_at{};
+  bool inherited = false;  ///< An earlier owner may have started tasks.
+  std::int64_t next_occurrence = 0;  ///< First timed run not opened yet.
+};
+
+/// Steps of a new occurrence, nothing done.
+Occurrence NewOccurrence(const JobSpec& spec, Instant due);
+
+/// The task of that name; null if the job has no such task open.
+Task* FindTask(Job& job, const TaskName& name);
+const Step& StepOf(const Job& job, std::int64_t step);
+
+/// True once all steps that `step` depends on are complete.
+bool IsReady(const Job& job, const Occurrence& occurrence, std::int64_t step);
+
+/// Notes that a task has ended `done`; returns whether that was news. One end
+/// of a gang's member counts for all of the gang.
+bool MarkDone(Job& job, const TaskName& name);
+
+/// Closes the occurrence if all of its steps are complete, and completes the
+/// job with its last occurrence.
+void CloseIfComplete(Job& job, std::int64_t occurrence);
+
+/// Longest chain of estimated work that is left in `occurrence`, in ms.
+std::int64_t RemainingChainMs(const Job& job, const Occurrence& occurrence);
+
+/// Longest chain of estimated work of the whole job, in ms.
+std::int64_t WholeChainMs(const JobSpec& spec);
+
+/// The progress row of a job: what a later owner must know.
+nlohmann::json ProgressRow(const Job& job);
+
+/// Applies a progress row to a job that was just read.
+/// Errors: kInvalidArgument naming the field.
+absl::Status ApplyProgress(const nlohmann::json& row, Instant now, Job& job);
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_POLICY_JOB_TABLE_H_
--- /dev/null
+++ b/Source/Policy/owner.cc
@@ -0,0 +1,443 @@
+#include "Policy/owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Model/text.h"
+#include "Policy/owner_runs.h"
+#include "Policy/placement.h"
+#include "Policy/steward.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kCancelSuffix = ".x";
+constexpr std::string_view kCommitKey = "commit";
+constexpr std::string_view kEpochKey = "epoch";
+
+/// Rows of one commit; the store takes 100 entries.
+constexpr std::size_t kCommitRows = 80;
+/// Lets ends that arrive together share a commit.
+constexpr Duration kCommitGap = milliseconds(8);
+constexpr Duration kCommitRetry = milliseconds(100);
+/// Unheard targets delay the first starts for no longer.
+constexpr Duration kReadyWait = milliseconds(350);
+constexpr Duration kSweepGap = milliseconds(250);
+/// Longest time for which jobs are kept beyond what callers are promised.
+constexpr Duration kRowSlack = milliseconds(30'000);
+constexpr std::int64_t kMaxOpenOccurrences = 64;
+constexpr std::int64_t kMaxAgeMs = 600'000;  ///< Clocks may be wrong.
+
+void CancelJob(Owner& owner, const std::string& id, Context& context) {
+  auto it = owner.jobs.find(id);
+  if (it == owner.jobs.end()) {
+    owner.early_cancels.insert(id);
+    return;
+  }
+  if (IsFinal(it->second.state)) return;
+  FinishJob(owner, it->second, JobState::kCancelled, "cancelled by its caller",
+            context);
+}
+
+void OpenOccurrences(Job& job, const Moment& at) {
+  const JobSpec& spec = job.record.spec;
+  if (spec.repeats == 0) {
+    if (job.finished.empty()) {
+      job.open.try_emplace(0, NewOccurrence(spec, job.accepted));
+    }
+    return;
+  }
+  while (job.next_occurrence < spec.repeats &&
+         static_cast<std::int64_t>(job.open.size()) < kMaxOpenOccurrences) {
+    const std::int64_t due =
+        spec.start_ms + job.next_occurrence * spec.interval_ms;
+    if (due > at.unix_ms) return;
+    if (job.finished.count(job.next_occurrence) == 0) {
+      job.open.try_emplace(job.next_occurrence, NewOccurrence(spec, at.now));
+    }
+    ++job.next_occurrence;
+  }
+}
+
+void AddJob(Owner& owner, JobRecord record, const Row& row, bool live,
+            Context& context) {
+  const std::string id = record.id;
+  Job job;
+  job.record = std::move(record);
+  job.row_revision = row.revision;
+  job.inherited = !live;
+  const std::int64_t age =
+      live ? 0
+           : std::clamp<std::int64_t>(
+                 context.at.unix_ms - job.record.accepted_ms, 0, kMaxAgeMs);
+  job.accepted = context.at.now - milliseconds(age);
+  auto progress = owner.early_progress.find(id);
+  if (progress != owner.early_progress.end()) {
+    const absl::Status status =
+        ApplyProgress(progress->second, context.at.now, job);
+    if (!status.ok()) {
+      Note(context, Severity::kError, "progress_unreadable",
+           {{"job", id}, {"error", std::string(status.message())}});
+    }
+    if (IsFinal(job.state)) {
+      job.final_stored = true;
+      job.final_at = context.at.now;
+      job.open.clear();
+    }
+    owner.early_progress.erase(progress);
+  }
+  if (!IsFinal(job.state)) {
+    OpenOccurrences(job, context.at);
+    owner.active.insert(id);
+  }
+  if (live) {
+    Note(context, Severity::kInfo, "job_taken",
+         {{"job", id},
+          {"queue", job.record.queue},
+          {"pool", job.record.pool},
+          {"revision", std::to_string(row.revision)}});
+  }
+  owner.jobs.emplace(id, std::move(job));
+  owner.plan_due = true;
+  if (owner.early_cancels.erase(id) > 0) CancelJob(owner, id, context);
+}
+
+bool MayCommit(const Owner& owner, Instant now) {
+  return !owner.commit.has_value() && owner.next_commit <= now &&
+         owner.progress_loaded;
+}
+
+void CommitWaves(Owner& owner, OpenCommit& open, CommitRows& commit) {
+  for (auto& [number, view] : owner.steward.waves) {
+    if (view.stored) continue;
+    const std::string key = StrCat("wave/", number);
+    commit.writes.push_back({{Table::kProgress, key}, {{"done", view.done}}});
+    open.waves[number] = view.completed;
+    view.stored = true;
+  }
+}
+
+void RemoveExpired(Owner& owner, OpenCommit& open, CommitRows& commit,
+                   Context& context) {
+  const Duration kept = context.terms.state_kept + kRowSlack;
+  for (const auto& [id, job] : owner.jobs) {
+    if (commit.writes.size() + 3 > kCommitRows) return;
+    const bool expired =
+        job.final_stored && job.final_at + kept < context.at.now;
+    if (!expired) continue;
+    open.removed.push_back(id);
+    commit.writes.push_back({{Table::kJobs, id}, nullptr});
+    commit.writes.push_back(
+        {{Table::kJobs, StrCat(id, kCancelSuffix)}, nullptr});
+    commit.writes.push_back({{Table::kProgress, id}, nullptr});
+  }
+}
+
+void Commit(Owner& owner, Context& context, bool sweep) {
+  if (!MayCommit(owner, context.at.now)) return;
+  OpenCommit open;
+  CommitRows commit;
+  while (!owner.changed_jobs.empty() && commit.writes.size() < kCommitRows) {
+    const std::string id = *owner.changed_jobs.begin();
+    owner.changed_jobs.erase(owner.changed_jobs.begin());
+    auto it = owner.jobs.find(id);
+    if (it == owner.jobs.end()) continue;
+    it->second.changed = false;
+    commit.writes.push_back({{Table::kProgress, id}, ProgressRow(it->second)});
+    open.jobs[id] = IsFinal(it->second.state);
+  }
+  bool ends = false;
+  if (owner.changed_jobs.empty()) {
+    for (const auto& [id, target] : owner.targets) {
+      open.ends[id] = target.ends_seen;
+      ends = ends || target.ends_seen > target.ends_stored;
+    }
+  }
+  CommitWaves(owner, open, commit);
+  if (sweep) RemoveExpired(owner, open, commit, context);
+  if (commit.writes.empty()) {
+    // Ends that changed nothing need no row.
+    if (ends) {
+      for (auto& [id, target] : owner.targets) {
+        if (target.ends_seen <= target.ends_stored) continue;
+        target.ends_stored = target.ends_seen;
+        target.next_hold = context.at.now;
+      }
+    }
+    return;
+  }
+  open.id = context.next_id++;
+  open.sequence = ++owner.commit_sequence;
+  commit.id = open.id;
+  commit.conditions = {
+      {{Table::kOwner, std::string(kEpochKey)}, owner.epoch_revision},
+      {{Table::kOwner, std::string(kCommitKey)}, owner.commit_revision}};
+  commit.writes.push_back(
+      {{Table::kOwner, std::string(kCommitKey)},
+       {{"epoch", owner.epoch}, {"sequence", open.sequence}}});
+  owner.commit = std::move(open);
+  context.out.emplace_back(std::move(commit));
+}
+
+void Committed(Owner& owner, const OpenCommit& open, Context& context) {
+  for (const auto& [id, final] : open.jobs) {
+    auto it = owner.jobs.find(id);
+    if (it != owner.jobs.end() && final) it->second.final_stored = true;
+  }
+  for (const std::string& id : open.removed) owner.jobs.erase(id);
+  for (const auto& [id, number] : open.ends) {
+    auto it = owner.targets.find(id);
+    if (it == owner.targets.end() || it->second.ends_stored >= number) continue;
+    it->second.ends_stored = number;
+    it->second.next_hold = context.at.now;
+  }
+  for (const auto& [number, completed] : open.waves) {
+    owner.steward.waves[number].completion_stored = completed;
+  }
+}
+
+void Uncommitted(Owner& owner, const OpenCommit& open) {
+  for (const auto& [id, final] : open.jobs) owner.changed_jobs.insert(id);
+  for (const auto& [number, completed] : open.waves) {
+    owner.steward.waves[number].stored = false;
+  }
+}
+
+void BecomeReady(Owner& owner, Context& context) {
+  if (owner.ready) return;
+  const bool loaded =
+      owner.jobs_loaded && owner.progress_loaded && owner.targets_loaded;
+  if (!loaded) return;
+  const bool all = std::all_of(
+      owner.targets.begin(), owner.targets.end(),
+      [](const auto& it) { return it.second.synced || !it.second.listed; });
+  if (!all && context.at.now < owner.since + kReadyWait) return;
+  owner.ready = true;
+  std::int64_t synced = 0;
+  for (const auto& [id, target] : owner.targets)
+    synced += target.synced ? 1 : 0;
+  Note(context, Severity::kInfo, "owner_ready",
+       {{"epoch", std::to_string(owner.epoch)},
+        {"jobs", std::to_string(owner.active.size())},
+        {"targets", std::to_string(owner.targets.size())},
+        {"heard", std::to_string(synced)}});
+}
+
+/// A target that is listed no longer is forgotten once it can run nothing.
+void ForgetTargets(Owner& owner, Context& context) {
+  for (auto it = owner.targets.begin(); it != owner.targets.end();) {
+    TargetView& target = it->second;
+    const bool over =
+        !target.listed && target.runs.empty() && target.open_hold == 0 &&
+        target.open_orders == 0 &&
+        (target.missed > 0 || target.ends_told >= target.ends_seen);
+    if (over) {
+      Note(context, Severity::kInfo, "target_forgotten",
+           {{"target", target.entry.id}});
+      it = owner.targets.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+}  // namespace
+
+bool MayOrder(const Owner& owner, Instant now) {
+  return now < owner.may_order_until && !owner.fenced;
+}
+
+void TakeJobRows(Owner& owner, const StoreRows& rows, bool live,
+                 Context& context) {
+  for (const Row& row : rows.rows) {
+    if (row.value.is_null()) continue;
+    std::string_view key = row.key;
+    if (ConsumeSuffix(key, kCancelSuffix)) {
+      CancelJob(owner, std::string(key), context);
+      continue;
+    }
+    const bool known = owner.jobs.count(row.key) > 0;
+    const bool is_void = row.value.is_object() && row.value.contains("void");
+    if (known || is_void) continue;
+    absl::StatusOr<JobRecord> record = ParseJobRecord(row.key, row.value);
+    if (!record.ok()) {
+      Note(context, Severity::kError, "job_unreadable",
+           {{"job", row.key},
+            {"revision", std::to_string(row.revision)},
+            {"error", std::string(record.status().message())}});
+      continue;
+    }
+    AddJob(owner, *std::move(record), row, live, context);
+  }
+}
+
+void TakeProgressRows(Owner& owner, const StoreRows& rows) {
+  for (const Row& row : rows.rows) {
+    std::string_view key = row.key;
+    if (ConsumePrefix(key, "wave/")) {
+      const auto number = ParseInteger<std::int64_t>(key);
+      if (!number.has_value() || !row.value.contains("done")) continue;
+      WaveView& view = owner.steward.waves[*number];
+      for (const nlohmann::json& it : row.value["done"]) {
+        if (it.is_string()) view.done.insert(it.get<std::string>());
+      }
+      continue;
+    }
+    owner.early_progress[row.key] = row.value;
+  }
+}
+
+void TakeTargets(Owner& owner, const StoreRows& rows, bool whole,
+                 Context& context) {
+  std::set<std::string> present;
+  for (const Target& it : rows.targets) {
+    present.insert(it.id);
+    auto [view, fresh] = owner.targets.try_emplace(it.id);
+    TargetView& target = view->second;
+    const bool reborn = !fresh && target.entry.born != it.born;
+    if (fresh || reborn) {
+      DropAllRuns(owner, target, "the target started again", context);
+      const std::int64_t hold = target.open_hold;
+      const std::int64_t orders = target.open_orders;
+      target = TargetView{};
+      target.open_hold = hold;
+      target.open_orders = orders;
+      target.lease_bound = context.at.now;
+      owner.plan_due = true;
+      Note(context, Severity::kInfo, "target_found",
+           {{"target", it.id},
+            {"pool", it.pool},
+            {"host", it.host},
+            {"born", std::to_string(it.born)}});
+    }
+    if (!fresh && target.entry.draining != it.draining) {
+      Note(context, Severity::kInfo, "target_draining",
+           {{"target", it.id}, {"draining", it.draining ? "yes" : "no"}});
+      owner.plan_due = true;
+    }
+    target.entry = it;
+    target.listed = true;
+  }
+  std::vector<std::string> removed = rows.removed_targets;
+  if (whole) {
+    for (const auto& [id, target] : owner.targets) {
+      if (present.count(id) == 0) removed.push_back(id);
+    }
+  }
+  for (const std::string& it : removed) {
+    auto target = owner.targets.find(it);
+    if (target == owner.targets.end() || !target->second.listed) continue;
+    target->second.listed = false;
+    Note(
+        context, Severity::kWarn, "target_unlisted",
+        {{"target", it}, {"runs", std::to_string(target->second.runs.size())}});
+  }
+}
+
+void TakeWaves(Owner& owner, const std::vector<Wave>& waves, Context& context) {
+  for (const Wave& it : waves) {
+    WaveView& view = owner.steward.waves[it.number];
+    if (view.wave == it) continue;
+    view.wave = it;
+    view.seen_at = context.at.now;
+    view.stored = false;
+    Note(context, Severity::kInfo, "wave_taken",
+         {{"wave", std::to_string(it.number)},
+          {"hosts", std::to_string(it.hosts.size())},
+          {"limit", std::to_string(it.limit)},
+          {"duration_ms", std::to_string(it.duration_ms)}});
+  }
+}
+
+bool TakeCommitReply(Owner& owner, std::int64_t id, const StoreRows& reply,
+                     Context& context) {
+  if (TakeWaveWrite(owner, id, reply.status, context)) return true;
+  if (!owner.commit.has_value() || owner.commit->id != id) return false;
+  const OpenCommit open = *std::move(owner.commit);
+  owner.commit.reset();
+  if (reply.status == StoreStatus::kOk) {
+    owner.commit_revision = reply.revision;
+    owner.next_commit = context.at.now + kCommitGap;
+    Committed(owner, open, context);
+    return true;
+  }
+  Uncommitted(owner, open);
+  owner.next_commit = context.at.now + kCommitRetry;
+  if (reply.status != StoreStatus::kConflict) return true;
+  for (const Row& row : reply.rows) {
+    if (row.key == kCommitKey) owner.commit_revision = row.revision;
+    if (row.key == kEpochKey && row.revision != owner.epoch_revision) {
+      owner.fenced = true;
+      Note(context, Severity::kWarn, "owner_replaced",
+           {{"epoch", std::to_string(owner.epoch)},
+            {"by_revision", std::to_string(row.revision)}});
+    }
+  }
+  return true;
+}
+
+void Advance(Owner& owner, Context& context) {
+  const Instant now = context.at.now;
+  const bool sweep = owner.next_sweep <= now;
+  if (sweep) {
+    owner.next_sweep = now + kSweepGap;
+    for (const std::string& id : owner.active) {
+      Job& job = owner.jobs.at(id);
+      const std::size_t open = job.open.size();
+      OpenOccurrences(job, context.at);
+      if (job.open.size() != open) owner.plan_due = true;
+    }
+    ForgetTargets(owner, context);
+    owner.plan_due = true;
+  }
+  BecomeReady(owner, context);
+  if (owner.ready && MayOrder(owner, now)) {
+    AdvanceSteward(owner, context);
+    if (owner.plan_due) {
+      owner.plan_due = false;
+      PlaceTasks(owner, context);
+    }
+  }
+  for (auto& [id, target] : owner.targets) {
+    AdvanceTarget(owner, target, context);
+  }
+  Commit(owner, context, sweep);
+}
+
+Instant NextDue(const Owner& owner, Instant now) {
+  Instant due = owner.next_sweep;
+  const bool changes = !owner.changed_jobs.empty();
+  if (!owner.commit.has_value() && changes) {
+    due = std::min(due, std::max(owner.next_commit, now));
+  }
+  for (const auto& [id, target] : owner.targets) {
+    const bool hold =
+        target.open_hold == 0 && (!target.runs.empty() || !target.synced ||
+                                  target.ends_told < target.ends_seen);
+    if (hold) due = std::min(due, std::max(target.next_hold, now));
+  }
+  return due;
+}
+
+std::int64_t CountWaiting(const Owner& owner, std::string_view queue) {
+  return std::count_if(owner.active.begin(), owner.active.end(),
+                       [&](const std::string& id) {
+                         const Job& job = owner.jobs.at(id);
+                         return job.record.queue == queue && !job.has_run &&
+                                job.record.spec.repeats == 0;
+                       });
+}
+
+std::optional<JobState> ShownState(const Owner& owner, const std::string& job) {
+  auto it = owner.jobs.find(job);
+  if (it == owner.jobs.end()) return std::nullopt;
+  const Job& found = it->second;
+  const bool told = !IsFinal(found.state) || found.final_stored ||
+                    found.state == JobState::kCancelled;
+  if (told) return found.state;
+  return found.has_run ? JobState::kRunning : JobState::kPending;
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Policy/owner.h
@@ -0,0 +1,238 @@
+#ifndef HYSSOPBARROW_POLICY_OWNER_H_
+#define HYSSOPBARROW_POLICY_OWNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Model/fleet.h"
+#include "Model/job.h"
+#include "Model/time.h"
+#include "Policy/fleet_effects.h"
+#include "Policy/job_table.h"
+
+namespace hyssopbarrow::fleet {
+
+/// Figures of the deployment, from its settings.
+struct Terms {
+  Duration longest_lease = std::chrono::seconds(10);  ///< Targets cut to this.
+  Duration stop = std::chrono::milliseconds(900);
+  Duration move = std::chrono::milliseconds(1500);
+  Duration upkeep = std::chrono::seconds(2);
+  Duration notice = std::chrono::milliseconds(4500);
+  Duration turn_gap = std::chrono::seconds(3);  ///< Between two stewards.
+  Duration state_kept = std::chrono::seconds(120);
+  bool approvals = false;  ///< A placement policy can be asked.
+
+  friend bool operator==(const Terms&, const Terms&) = default;
+};
+
+/// What a decision needs besides the state that it changes.
+struct Context {
+  Moment at;
+  const Terms& terms;
+  const Configuration* configuration = nullptr;  ///< Null before the first.
+  std::int64_t& next_id;
+  Effects& out;
+};
+
+/// Appends a log line.
+void Note(Context& context, Severity severity, std::string event,
+          std::vector<std::pair<std::string, std::string>> fields);
+
+enum class RunPhase {
+  kOrdered,   ///< The order to start was sent.
+  kRunning,   ///< The target has it.
+  kStopping,  ///< It is wanted no longer; still counts as room taken.
+};
+
+/// A run of a task on a target, as the owner believes it to be.
+struct Run {
+  std::int64_t number = 0;
+  RunPhase phase = RunPhase::kOrdered;
+  Resources need;       ///< Room that it takes on the target.
+  Resources team_need;  ///< Counts towards the team's ceiling.
+  std::string team;
+  std::string pool;
+  Instant ordered_at{};
+  /// The target has answered the order to start, or lists the run.
+  std::optional<Instant> confirmed_at;
+  /// An order to start got no answer and may be carried out later.
+  bool start_unsettled = false;
+  /// The target has answered the order to stop.
+  std::optional<Instant> stopped_at;
+  bool order_open = false;
+  Instant retry_at{};
+  std::int64_t percent = 0;
+  Instant progress_at{};  ///< When `percent` last rose.
+  std::int64_t load = 0;  ///< As in ListedRun.
+  std::int64_t pace = 100;
+  std::string checkpoint;
+};
+
+/// A target as its owner knows it.
+struct TargetView {
+  Target entry;
+  bool listed = true;
+  std::map<TaskName, Run> runs;
+  Resources used;
+  std::int64_t ends_seen = 0;    ///< Highest end taken in.
+  std::int64_t ends_stored = 0;  ///< Highest end whose effect is stored.
+  std::int64_t ends_told = 0;    ///< Highest end the target may forget.
+  bool synced = false;           ///< It has answered this owner's hold.
+  std::optional<std::int64_t> clock_ms;  ///< Its clock at `clock_at`.
+  Instant clock_at{};
+  std::int64_t lease_until_ms = 0;  ///< Longest lease ever sent, its clock.
+  Instant lease_bound{};            ///< Everything it runs has ended by then.
+  std::int64_t open_hold = 0;
+  Instant next_hold{};
+  std::int64_t missed = 0;  ///< Orders without answer since the last answer.
+  Instant avoid_until{};    ///< No starts until then.
+  std::int64_t open_orders = 0;
+  bool throttled = false;  ///< A start waits for open orders to be answered.
+  bool reserved = false;   ///< Being emptied for a move or an upkeep.
+  std::map<TaskName, Instant> foreign;  ///< Runs of jobs that are not known.
+  std::set<std::string> failed_jobs;    ///< Jobs with a recent failure here.
+};
+
+struct OpenOrder {
+  TargetOrder order;
+  Instant sent_at{};
+  std::int64_t lease_before_ms = 0;  ///< Longest lease sent before this order.
+  std::int64_t born = 0;             ///< Life of the target it was meant for.
+};
+
+/// Approval of a step's targets by the placement policy.
+struct Approval {
+  std::int64_t open_request = 0;
+  std::map<std::string, std::string> tickets;  ///< By target.
+  Instant valid_until{};
+  Instant retry_at{};
+};
+
+enum class Duty { kNone, kMove, kUpkeep };
+
+/// A host as the steward knows it.
+struct HostView {
+  Host host;
+  Duty duty = Duty::kNone;  ///< What it is reserved for, or doing.
+  std::string destination;  ///< Pool of a move.
+  std::int64_t wave = 0;
+  bool ordered = false;  ///< An order was sent and may have taken effect.
+  std::int64_t open_order = 0;
+  Instant ordered_at{};
+  Instant retry_at{};
+};
+
+struct WaveView {
+  Wave wave;
+  Instant seen_at{};
+  std::set<std::string> done;
+  bool completed = false;
+  bool stored = false;  ///< The progress row says what is known here.
+  bool completion_stored = false;
+  std::optional<bool> shown_completed;  ///< What the operators can read.
+  std::int64_t open_write = 0;
+  Instant retry_at{};
+};
+
+struct Steward {
+  std::map<std::string, HostView> hosts;
+  std::map<std::int64_t, WaveView> waves;
+  Instant orders_from{};  ///< No orders earlier, so that two never alternate.
+  std::int64_t open_list = 0;
+  Instant next_list{};
+  Instant listed_at{};
+  Instant next_plan{};
+  std::map<std::string, Instant> crowded;  ///< Pools and when they last were.
+};
+
+/// Writes of the owner that are under way.
+struct OpenCommit {
+  std::int64_t id = 0;
+  std::int64_t sequence = 0;
+  std::map<std::string, bool> jobs;    ///< Whether the state written is final.
+  std::vector<std::string> removed;    ///< Jobs whose rows are dropped.
+  std::map<std::int64_t, bool> waves;  ///< Whether written as completed.
+  std::map<std::string, std::int64_t> ends;  ///< By target.
+};
+
+/// All that the owner of the fleet knows and decides.
+struct Owner {
+  std::int64_t epoch = 0;
+  std::int64_t epoch_revision = 0;
+  Instant since{};
+  Instant may_order_until{};  ///< Updated by the ownership's renewals.
+  Instant steward_until{};    ///< Orders to hosts only until then.
+  bool fenced = false;        ///< A target has seen a newer owner.
+
+  bool jobs_loaded = false;
+  bool progress_loaded = false;
+  bool targets_loaded = false;
+  bool ready = false;  ///< Targets were asked what they run.
+
+  std::map<std::string, Job> jobs;
+  std::set<std::string> active;  ///< Jobs without a final state.
+  std::map<std::string, nlohmann::json> early_progress;
+  std::set<std::string> early_cancels;  ///< Of jobs whose row is not here yet.
+  std::map<std::string, TargetView> targets;
+  std::map<std::string, Resources> team_used;
+  std::unordered_map<std::int64_t, OpenOrder> orders;
+  std::map<std::string, Approval> approvals;  ///< By step.
+  Steward steward;
+
+  std::set<std::string> changed_jobs;
+  std::optional<OpenCommit> commit;
+  std::int64_t commit_revision = 0;
+  std::int64_t commit_sequence = 0;
+  Instant next_commit{};
+  Instant next_sweep{};
+  bool plan_due = true;
+  std::int64_t starts = 0;
+  std::int64_t ends = 0;
+};
+
+/// True while the owner may send orders to targets.
+bool MayOrder(const Owner& owner, Instant now);
+
+/// Takes in rows of the tables that the owner follows.
+void TakeJobRows(Owner& owner, const StoreRows& rows, bool live,
+                 Context& context);
+void TakeProgressRows(Owner& owner, const StoreRows& rows);
+void TakeTargets(Owner& owner, const StoreRows& rows, bool whole,
+                 Context& context);
+void TakeWaves(Owner& owner, const std::vector<Wave>& waves, Context& context);
+
+/// Answers to the owner's requests; false if `id` is not one of them.
+bool TakeOrderReply(Owner& owner, std::int64_t id, const OrderReply& reply,
+                    Context& context);
+bool TakeApproval(Owner& owner, std::int64_t id, const ApprovalReply& reply,
+                  Context& context);
+bool TakeCommitReply(Owner& owner, std::int64_t id, const StoreRows& reply,
+                     Context& context);
+
+bool TakeHosts(Owner& owner, std::int64_t id, const HostList& list,
+               Context& context);
+bool TakeHostReply(Owner& owner, std::int64_t id, HostResult result,
+                   Context& context);
+
+/// Does all that is due: leases, holds, retries, starts, commits.
+void Advance(Owner& owner, Context& context);
+
+/// When Advance is due again at the latest.
+Instant NextDue(const Owner& owner, Instant now);
+
+/// Accepted jobs of `queue` that have not begun, without timed ones.
+std::int64_t CountWaiting(const Owner& owner, std::string_view queue);
+
+/// State that may be shown: `completed` and `failed` only once stored.
+std::optional<JobState> ShownState(const Owner& owner, const std::string& job);
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_POLICY_OWNER_H_
--- /dev/null
+++ b/Source/Policy/owner_replies.cc
@@ -0,0 +1,420 @@
+#include <algorithm>
+#include <utility>
+
+#include "Model/text.h"
+#include "Policy/owner.h"
+#include "Policy/owner_runs.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr Duration kAvoidUnheard = milliseconds(500);
+constexpr Duration kAvoidUnhealthy = milliseconds(1000);
+constexpr Duration kAvoidFull = milliseconds(150);
+constexpr Duration kRetryUnanswered = milliseconds(150);
+constexpr Duration kRetryInvalid = milliseconds(1000);
+/// Jobs reach the owner a few milliseconds after they are stored; a run whose
+/// job is unknown for longer is not ours.
+constexpr Duration kForeignPatience = milliseconds(1500);
+/// Different jobs that fail on a target before it is avoided.
+constexpr std::size_t kBadTargetJobs = 3;
+constexpr Duration kAvoidBad = milliseconds(6000);
+constexpr Duration kHoldRetry = milliseconds(250);
+/// Between looks at a target whose ends wait for the store.
+constexpr Duration kUnstoredHoldGap = milliseconds(500);
+/// Room for the numbers of runs that an earlier life may have used.
+constexpr std::int64_t kRunSkip = 10;
+
+Job* FindJob(Owner& owner, const std::string& id) {
+  auto it = owner.jobs.find(id);
+  return it == owner.jobs.end() ? nullptr : &it->second;
+}
+
+/// Stops all other runs of a task that is done.
+void StopCopies(Owner& owner, Job& job, const TaskName& name,
+                Context& context) {
+  const Task* task = FindTask(job, name);
+  if (task == nullptr) return;
+  for (const std::string& id : std::vector<std::string>(task->targets)) {
+    StopRun(owner, owner.targets.at(id), name, "another copy is done", context);
+  }
+}
+
+void TakeDone(Owner& owner, Job& job, const ListedEnd& end, Context& context) {
+  const Step& step = StepOf(job, end.task.step);
+  if (step.lasts || IsFinal(job.state)) return;
+  if (!MarkDone(job, end.task)) return;
+  MarkChanged(owner, job);
+  StopCopies(owner, job, end.task, context);
+  CloseIfComplete(job, end.task.occurrence);
+  if (job.state == JobState::kCompleted) {
+    FinishJob(owner, job, JobState::kCompleted, "all tasks are done", context);
+  }
+}
+
+void TakeFailed(Owner& owner, TargetView& target, Job& job,
+                const ListedEnd& end, Context& context) {
+  Task* task = FindTask(job, end.task);
+  if (task == nullptr || task->done || IsFinal(job.state)) return;
+  const Step& step = StepOf(job, end.task.step);
+  ++task->failures;
+  task->failed_on.insert(target.entry.id);
+  target.failed_jobs.insert(job.record.id);
+  if (target.failed_jobs.size() >= kBadTargetJobs) {
+    target.failed_jobs.clear();
+    target.avoid_until = context.at.now + kAvoidBad;
+    Note(context, Severity::kWarn, "target_avoided",
+         {{"target", target.entry.id},
+          {"reason", "tasks of several jobs fail"}});
+  }
+  MarkChanged(owner, job);
+  const Queue* queue =
+      context.configuration == nullptr
+          ? nullptr
+          : FindQueue(*context.configuration, job.record.queue);
+  const std::int64_t attempts = queue == nullptr ? 1 : queue->max_attempts;
+  if (!step.lasts && task->failures >= attempts) {
+    FinishJob(owner, job, JobState::kFailed,
+              StrCat("task ", ToString(end.task), " failed ", task->failures,
+                     " times"),
+              context);
+  }
+}
+
+void TakeEnd(Owner& owner, TargetView& target, const ListedEnd& end,
+             bool counts, Context& context) {
+  ++owner.ends;
+  auto run = target.runs.find(end.task);
+  const bool current =
+      run != target.runs.end() && run->second.number == end.run;
+  if (current) {
+    if (!end.checkpoint.empty()) run->second.checkpoint = end.checkpoint;
+    DropRun(owner, target, end.task);
+  }
+  const bool routine = end.kind == EndKind::kDone && counts;
+  Note(context, routine ? Severity::kInfo : Severity::kWarn, "run_ended",
+       {{"task", ToString(end.task)},
+        {"run", std::to_string(end.run)},
+        {"target", target.entry.id},
+        {"how", std::string(ToString(end.kind))},
+        {"counts", counts ? "yes" : "lease ran out before it was seen"}});
+  Job* job = FindJob(owner, end.task.job);
+  if (job == nullptr) return;
+  if (Task* task = FindTask(*job, end.task)) {
+    task->last_run = std::max(task->last_run, end.run);
+    if (!task->done && !end.checkpoint.empty()) {
+      task->checkpoint = end.checkpoint;
+    }
+    task->unknown_until = {};
+  }
+  owner.plan_due = true;
+  if (!counts) return;
+  if (end.kind == EndKind::kDone) TakeDone(owner, *job, end, context);
+  if (end.kind == EndKind::kFailed) {
+    TakeFailed(owner, target, *job, end, context);
+  }
+}
+
+/// True if a run that the target lists may go on.
+bool IsWanted(const Job& job, const Task& task, const Step& step) {
+  if (IsFinal(job.state) || task.done) return false;
+  return task.targets.empty() || (step.allows_copies && !step.gang);
+}
+
+/// Takes in a listed run that is not on the books.
+void TakeUnbooked(Owner& owner, TargetView& target, const ListedRun& listed,
+                  Context& context) {
+  Job* job = FindJob(owner, listed.task.job);
+  const Instant now = context.at.now;
+  Task* task = job == nullptr ? nullptr : FindTask(*job, listed.task);
+  if (job != nullptr && task == nullptr) {
+    // An occurrence that was not opened here yet, or is complete.
+    const bool valid = listed.task.step >= 0 &&
+                       listed.task.step < static_cast<std::int64_t>(
+                                              job->record.spec.steps.size()) &&
+                       job->finished.count(listed.task.occurrence) == 0;
+    if (valid && !IsFinal(job->state)) {
+      job->open.try_emplace(listed.task.occurrence,
+                            NewOccurrence(job->record.spec, now));
+      task = FindTask(*job, listed.task);
+    }
+  }
+  if (task == nullptr) {
+    const auto [it, fresh] = target.foreign.try_emplace(listed.task, now);
+    if (job == nullptr && (fresh || now - it->second < kForeignPatience)) {
+      return;
+    }
+    TargetOrder stop{.kind = OrderKind::kStop};
+    stop.task = listed.task;
+    stop.run = listed.run;
+    SendOrder(owner, target, std::move(stop), false, context);
+    Note(context, Severity::kWarn, "stop_ordered",
+         {{"task", ToString(listed.task)},
+          {"run", std::to_string(listed.run)},
+          {"target", target.entry.id},
+          {"reason", "its job is unknown or has ended"}});
+    return;
+  }
+  const bool wanted = IsWanted(*job, *task, StepOf(*job, listed.task.step));
+  Run& run = AddRun(owner, target, *job, listed.task, listed.run, now);
+  run.confirmed_at = now;
+  run.phase = RunPhase::kRunning;
+  task->unknown_until = {};
+  Note(context, Severity::kInfo, "run_adopted",
+       {{"task", ToString(listed.task)},
+        {"run", std::to_string(listed.run)},
+        {"target", target.entry.id},
+        {"wanted", wanted ? "yes" : "no"}});
+  if (!wanted) StopRun(owner, target, listed.task, "not wanted", context);
+}
+
+void TakeListed(Owner& owner, TargetView& target, const ListedRun& listed,
+                Context& context) {
+  auto it = target.runs.find(listed.task);
+  if (it == target.runs.end()) {
+    TakeUnbooked(owner, target, listed, context);
+    it = target.runs.find(listed.task);
+    if (it == target.runs.end()) return;
+  }
+  Run& run = it->second;
+  if (listed.run != run.number) return;
+  if (!run.confirmed_at) run.confirmed_at = context.at.now;
+  if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kRunning;
+  if (listed.percent != run.percent) run.progress_at = context.at.now;
+  run.percent = listed.percent;
+  run.load = listed.load;
+  if (!listed.checkpoint.empty()) run.checkpoint = listed.checkpoint;
+}
+
+/// Drops runs that the target neither runs nor lists as ended, though it had
+/// settled them before the hold was sent.
+void DropVanished(Owner& owner, TargetView& target, const OrderReply& reply,
+                  Instant sent_at, Context& context) {
+  std::set<TaskName> listed;
+  for (const ListedRun& it : reply.running) listed.insert(it.task);
+  std::vector<TaskName> vanished;
+  for (const auto& [name, run] : target.runs) {
+    const bool settled = (run.confirmed_at && *run.confirmed_at < sent_at) ||
+                         (run.stopped_at && *run.stopped_at < sent_at);
+    if (settled && listed.count(name) == 0) vanished.push_back(name);
+  }
+  for (const TaskName& it : vanished) {
+    Note(context, Severity::kWarn, "run_vanished",
+         {{"task", ToString(it)}, {"target", target.entry.id}});
+    DropRun(owner, target, it);
+  }
+}
+
+void TakeHold(Owner& owner, TargetView& target, const OpenOrder& open,
+              const OrderReply& reply, Context& context) {
+  const Instant now = context.at.now;
+  const Duration taken = now - open.sent_at;
+  const std::int64_t clock_on_arrival =
+      reply.clock_ms - duration_cast<milliseconds>(taken).count();
+  const bool lapsed =
+      open.lease_before_ms > 0 && clock_on_arrival > open.lease_before_ms;
+  // An end that was listed before the lease ran out stands only if it was
+  // acknowledged before.
+  std::int64_t last_lapse = 0;
+  for (const ListedEnd& it : reply.ended) {
+    if (it.kind == EndKind::kLapsed) last_lapse = it.number;
+  }
+  for (const ListedEnd& it : reply.ended) {
+    if (it.number <= target.ends_seen) continue;
+    const bool counts = !lapsed && it.number >= last_lapse;
+    target.ends_seen = it.number;
+    TakeEnd(owner, target, it, counts, context);
+  }
+  target.ends_told = std::max(target.ends_told, open.order.ends_seen);
+  for (const ListedRun& it : reply.running) {
+    TakeListed(owner, target, it, context);
+  }
+  if (reply.ends_complete) {
+    DropVanished(owner, target, reply, open.sent_at, context);
+  }
+  if (!target.synced) {
+    target.synced = true;
+    owner.plan_due = true;
+  }
+  const bool unstored = target.ends_seen > target.ends_stored;
+  target.next_hold = unstored ? now + kUnstoredHoldGap : now;
+}
+
+/// The order to start was refused, so that this attempt has not run. Earlier
+/// attempts without an answer may still be carried out.
+void StartRefused(Owner& owner, TargetView& target, const TaskName& name,
+                  std::string_view reason, Context& context) {
+  auto it = target.runs.find(name);
+  if (it == target.runs.end()) return;
+  Note(context, Severity::kWarn, "start_refused",
+       {{"task", ToString(name)},
+        {"run", std::to_string(it->second.number)},
+        {"target", target.entry.id},
+        {"reason", std::string(reason)}});
+  if (it->second.start_unsettled) {
+    StopRun(owner, target, name, reason, context);
+  } else {
+    DropRun(owner, target, name);
+  }
+}
+
+void TakeStart(Owner& owner, TargetView& target, const OpenOrder& open,
+               const OrderReply& reply, Context& context) {
+  const TaskName& name = open.order.task;
+  auto it = target.runs.find(name);
+  if (it == target.runs.end() || it->second.number != open.order.run) return;
+  Run& run = it->second;
+  const Instant now = context.at.now;
+  run.order_open = false;
+  Job* job = FindJob(owner, name.job);
+  Task* task = job == nullptr ? nullptr : FindTask(*job, name);
+  switch (reply.result) {
+    case OrderResult::kDone:
+      if (!run.confirmed_at) run.confirmed_at = now;
+      if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kRunning;
+      return;
+    case OrderResult::kNoReply:
+      run.start_unsettled = true;
+      run.retry_at = now + kRetryUnanswered;
+      return;
+    case OrderResult::kOldRun:
+      if (task != nullptr) task->last_run = open.order.run + kRunSkip;
+      // A run with an unanswered start may have ended: the list of ends tells.
+      if (run.start_unsettled) {
+        run.stopped_at = now;
+        run.phase = RunPhase::kStopping;
+        target.next_hold = now;
+        return;
+      }
+      break;
+    case OrderResult::kLeaseOver:
+      run.start_unsettled = false;
+      target.clock_ms.reset();
+      break;
+    case OrderResult::kNoRoom:
+      target.avoid_until = std::max(target.avoid_until, now + kAvoidFull);
+      break;
+    case OrderResult::kNoTicket:
+      owner.approvals.erase(
+          StrCat(name.job, ".", name.occurrence, ".", name.step));
+      break;
+    case OrderResult::kInvalid:
+      if (task != nullptr) task->not_before = now + kRetryInvalid;
+      break;
+    case OrderResult::kUnhealthy:
+      target.avoid_until = std::max(target.avoid_until, now + kAvoidUnhealthy);
+      break;
+    case OrderResult::kFenced:
+    case OrderResult::kOtherInstance:
+    case OrderResult::kNotSent:
+      break;
+  }
+  StartRefused(owner, target, name, ToString(reply.result), context);
+}
+
+void TakeStop(Owner& owner, TargetView& target, const OpenOrder& open,
+              const OrderReply& reply, Context& context) {
+  auto it = target.runs.find(open.order.task);
+  if (it == target.runs.end() || it->second.number != open.order.run) return;
+  it->second.order_open = false;
+  const bool answered = reply.result != OrderResult::kNoReply &&
+                        reply.result != OrderResult::kNotSent &&
+                        reply.result != OrderResult::kUnhealthy;
+  if (answered) {
+    it->second.stopped_at = context.at.now;
+  } else {
+    it->second.retry_at = context.at.now + kRetryUnanswered;
+  }
+  (void)owner;
+}
+
+/// Another life of the target answers: nothing that was started runs on.
+void TakeNewLife(Owner& owner, TargetView& target, std::int64_t born,
+                 Context& context) {
+  DropAllRuns(owner, target, "another life of the target answers", context);
+  target.entry.born = born;
+  target.ends_seen = target.ends_stored = target.ends_told = 0;
+  target.synced = false;
+  target.clock_ms.reset();
+  target.lease_until_ms = 0;
+  target.foreign.clear();
+  target.next_hold = context.at.now + kHoldRetry;
+}
+
+}  // namespace
+
+bool TakeOrderReply(Owner& owner, std::int64_t id, const OrderReply& reply,
+                    Context& context) {
+  auto it = owner.orders.find(id);
+  if (it == owner.orders.end()) return false;
+  const OpenOrder open = std::move(it->second);
+  owner.orders.erase(it);
+  auto view = owner.targets.find(open.order.target);
+  if (view == owner.targets.end()) return true;
+  TargetView& target = view->second;
+  const Instant now = context.at.now;
+  if (open.order.kind == OrderKind::kHold) {
+    if (target.open_hold == id) target.open_hold = 0;
+  } else {
+    --target.open_orders;
+    if (target.throttled) owner.plan_due = true;
+    target.throttled = false;
+  }
+  if (open.born != target.entry.born) return true;
+  const bool heard = reply.result != OrderResult::kNoReply &&
+                     reply.result != OrderResult::kNotSent;
+  if (!heard) {
+    if (target.missed++ == 0) {
+      Note(context, Severity::kWarn, "target_unheard",
+           {{"target", target.entry.id},
+            {"order", std::to_string(static_cast<int>(open.order.kind))},
+            {"result", std::string(ToString(reply.result))}});
+    }
+    target.avoid_until = std::max(target.avoid_until, now + kAvoidUnheard);
+    if (open.order.kind == OrderKind::kHold)
+      target.next_hold = now + kHoldRetry;
+  } else {
+    const bool hold = open.order.kind == OrderKind::kHold;
+    if (target.missed > 0 && hold) target.missed = 0;
+    if (reply.clock_ms > 0) {
+      target.clock_ms = reply.clock_ms;
+      target.clock_at = now;
+    }
+  }
+  if (reply.result == OrderResult::kFenced) {
+    owner.fenced = true;
+    Note(context, Severity::kWarn, "fenced",
+         {{"target", target.entry.id}, {"epoch", std::to_string(owner.epoch)}});
+  }
+  const bool other_life = reply.result == OrderResult::kOtherInstance ||
+                          (reply.born != 0 && target.entry.born != 0 &&
+                           reply.born != target.entry.born);
+  if (other_life) {
+    TakeNewLife(owner, target, reply.born != 0 ? reply.born : target.entry.born,
+                context);
+    return true;
+  }
+  switch (open.order.kind) {
+    case OrderKind::kHold:
+      if (reply.result == OrderResult::kDone) {
+        TakeHold(owner, target, open, reply, context);
+      } else if (heard) {
+        target.next_hold = now + kHoldRetry;
+      }
+      break;
+    case OrderKind::kStart:
+      TakeStart(owner, target, open, reply, context);
+      break;
+    case OrderKind::kStop:
+      TakeStop(owner, target, open, reply, context);
+      break;
+    case OrderKind::kPace:
+      break;
+  }
+  return true;
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Policy/owner_runs.h
@@ -0,0 +1,55 @@
+#ifndef HYSSOPBARROW_POLICY_OWNER_RUNS_H_
+#define HYSSOPBARROW_POLICY_OWNER_RUNS_H_
+
+#include <string>
+
+#include "Policy/owner.h"
+
+namespace hyssopbarrow::fleet {
+
+/// Lease that each hold and start gives. Outlasts the takeover from an owner
+/// that was killed (about 2.5 s) and a hold that waits.
+constexpr Duration kLease = std::chrono::milliseconds(4500);
+
+/// The lease under these terms.
+Duration LeaseOf(const Terms& terms);
+
+/// Books a run of a task on a target.
+Run& AddRun(Owner& owner, TargetView& target, Job& job, const TaskName& name,
+            std::int64_t number, Instant now);
+
+/// Takes a run off the books; the task may be started again.
+void DropRun(Owner& owner, TargetView& target, const TaskName& name);
+
+/// Takes all runs off the books of a target that can run nothing of them.
+void DropAllRuns(Owner& owner, TargetView& target, std::string_view reason,
+                 Context& context);
+
+/// Marks a run as unwanted and orders its stop.
+void StopRun(Owner& owner, TargetView& target, const TaskName& name,
+             std::string_view reason, Context& context);
+
+/// Stops every run of a job.
+void StopJob(Owner& owner, Job& job, std::string_view reason, Context& context);
+
+/// Notes that a job's progress row is behind.
+void MarkChanged(Owner& owner, Job& job);
+
+/// Gives a job its final state.
+void FinishJob(Owner& owner, Job& job, JobState state, std::string_view reason,
+               Context& context);
+
+/// Sends an order to a target, with a lease where it extends one.
+void SendOrder(Owner& owner, TargetView& target, TargetOrder order,
+               bool extend_lease, Context& context);
+
+/// Orders the start of a run that is booked.
+void SendStart(Owner& owner, TargetView& target, const TaskName& name,
+               Context& context);
+
+/// Holds, retries and presumed losses that are due on one target.
+void AdvanceTarget(Owner& owner, TargetView& target, Context& context);
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_POLICY_OWNER_RUNS_H_
--- /dev/null
+++ b/Source/Policy/ownership.cc
@@ -0,0 +1,246 @@
+#include <functional>
+#include <string_view>
+#include <utility>
+
+#include "Policy/entry_parts.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kRenewGap = milliseconds(500);
+constexpr Duration kRenewRetry = milliseconds(150);
+/// An owner that has not renewed for so long is replaced. Three renewals.
+constexpr Duration kTakeoverAfter = milliseconds(1600);
+/// An owner counts its lease shorter than the others do.
+constexpr Duration kLeaseMargin = milliseconds(100);
+/// An owner that the store does not answer goes on for so long: the usual
+/// outage, and no longer than its successor waits for what it cannot see.
+constexpr Duration kGoOnWithoutStore = milliseconds(6000);
+/// Spreads the claims of several hosts.
+constexpr std::int64_t kClaimSpreadMs = 120;
+constexpr Duration kClaimRetry = milliseconds(300);
+
+constexpr std::string_view kEpochKey = "epoch";
+constexpr std::string_view kLeaseKey = "lease";
+constexpr std::string_view kCommitKey = "commit";
+
+RowRef OwnerRow(std::string_view key) {
+  return {Table::kOwner, std::string(key)};
+}
+
+nlohmann::json LeaseRow(const Entry& entry, std::int64_t epoch, bool released) {
+  return {{"holder", entry.self.holder},
+          {"address", entry.self.address},
+          {"epoch", epoch},
+          {"renewals", entry.ownership.renewals},
+          {"released", released}};
+}
+
+Duration ClaimDelay(const Entry& entry) {
+  const std::size_t hash = std::hash<std::string>()(entry.self.holder);
+  return milliseconds(static_cast<std::int64_t>(hash) % kClaimSpreadMs +
+                      (static_cast<std::int64_t>(hash) % kClaimSpreadMs < 0
+                           ? kClaimSpreadMs
+                           : 0));
+}
+
+void BecomeOwner(Entry& entry, std::int64_t epoch, std::int64_t revision,
+                 Instant sent_at, Context& context) {
+  Ownership& it = entry.ownership;
+  it.epoch = epoch;
+  it.epoch_revision = revision;
+  it.holder = entry.self.holder;
+  it.address = entry.self.address;
+  it.released = false;
+  it.renewed_at = sent_at;
+  it.next_renewal = sent_at + kRenewGap;
+  it.open_renewal = 0;
+  Owner owner;
+  owner.epoch = epoch;
+  owner.epoch_revision = revision;
+  owner.commit_revision = revision;
+  owner.since = context.at.now;
+  owner.may_order_until = sent_at + kTakeoverAfter - kLeaseMargin;
+  owner.steward_until = owner.may_order_until;
+  owner.steward.orders_from =
+      epoch > 1 ? context.at.now + context.terms.turn_gap : context.at.now;
+  for (const auto& [number, wave] : entry.waves) {
+    TakeWaves(owner, {wave}, context);
+  }
+  entry.owner = std::move(owner);
+  const auto restart = [](Follower& follower) {
+    follower = Follower{.table = follower.table, .wait = follower.wait};
+  };
+  restart(entry.jobs);
+  restart(entry.progress);
+  restart(entry.targets);
+  Note(context, Severity::kInfo, "ownership_taken",
+       {{"epoch", std::to_string(epoch)},
+        {"revision", std::to_string(revision)}});
+}
+
+void LoseOwnership(Entry& entry, std::string_view reason, Context& context) {
+  if (!entry.owner.has_value()) return;
+  Note(context, Severity::kWarn, "ownership_lost",
+       {{"epoch", std::to_string(entry.owner->epoch)},
+        {"reason", std::string(reason)}});
+  entry.owner.reset();
+  entry.ownership.open_renewal = 0;
+}
+
+void SendRenewal(Entry& entry, bool release, Context& context) {
+  Ownership& it = entry.ownership;
+  ++it.renewals;
+  it.open_renewal = context.next_id++;
+  it.renewal_sent = context.at.now;
+  it.releasing = release;
+  CommitRows commit{.id = it.open_renewal};
+  commit.conditions = {{OwnerRow(kEpochKey), entry.owner->epoch_revision}};
+  commit.writes = {
+      {OwnerRow(kLeaseKey), LeaseRow(entry, entry.owner->epoch, release)}};
+  context.out.emplace_back(std::move(commit));
+}
+
+void SendClaim(Entry& entry, Context& context) {
+  Ownership& it = entry.ownership;
+  it.open_claim = context.next_id++;
+  it.claim_sent = context.at.now;
+  it.next_claim = context.at.now + kClaimRetry;
+  CommitRows commit{.id = it.open_claim};
+  commit.conditions = {{OwnerRow(kEpochKey), it.epoch_revision},
+                       {OwnerRow(kLeaseKey), it.lease_revision}};
+  const std::int64_t epoch = it.epoch + 1;
+  commit.writes = {
+      {OwnerRow(kEpochKey), {{"epoch", epoch}, {"holder", entry.self.holder}}},
+      {OwnerRow(kLeaseKey), LeaseRow(entry, epoch, false)},
+      {OwnerRow(kCommitKey), {{"epoch", epoch}, {"sequence", 0}}}};
+  Note(
+      context, Severity::kInfo, "ownership_claimed",
+      {{"epoch", std::to_string(epoch)},
+       {"former_holder", it.holder},
+       {"released", it.released ? "yes" : "no"},
+       {"unchanged_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                           context.at.now - it.unchanged_since)
+                                           .count())}});
+  context.out.emplace_back(std::move(commit));
+}
+
+void TakeRenewal(Entry& entry, const StoreRows& reply, Context& context) {
+  Ownership& it = entry.ownership;
+  it.open_renewal = 0;
+  if (!entry.owner.has_value()) return;
+  Owner& owner = *entry.owner;
+  if (it.releasing) {
+    LoseOwnership(entry, "handed over at a planned stop", context);
+    return;
+  }
+  switch (reply.status) {
+    case StoreStatus::kOk:
+      it.renewed_at = it.renewal_sent;
+      it.next_renewal = it.renewal_sent + kRenewGap;
+      owner.may_order_until = it.renewed_at + kTakeoverAfter - kLeaseMargin;
+      owner.steward_until = owner.may_order_until;
+      owner.fenced = false;
+      return;
+    case StoreStatus::kConflict:
+      LoseOwnership(entry, "the epoch has changed", context);
+      return;
+    case StoreStatus::kUnavailable:
+    case StoreStatus::kUnknown:
+      break;
+  }
+  it.next_renewal = context.at.now + kRenewRetry;
+  // Only a renewal that was tried after the lease had run out shows that the
+  // store is away, and not that this host stood still.
+  const Instant lease_end = it.renewed_at + kTakeoverAfter - kLeaseMargin;
+  const Instant go_on = it.renewed_at + kGoOnWithoutStore;
+  if (it.renewal_sent < lease_end || owner.may_order_until >= go_on) return;
+  owner.may_order_until = go_on;
+  Note(context, Severity::kWarn, "going_on_without_store",
+       {{"epoch", std::to_string(owner.epoch)},
+        {"for_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                      Remaining(go_on, context.at.now))
+                                      .count())}});
+}
+
+}  // namespace
+
+void AdvanceOwnership(Entry& entry, Context& context) {
+  Ownership& it = entry.ownership;
+  if (entry.owner.has_value()) {
+    if (entry.owner->fenced)
+      it.next_renewal = std::min(it.next_renewal, context.at.now);
+    const bool due = it.open_renewal == 0 && it.next_renewal <= context.at.now;
+    if (due && !entry.stopping) SendRenewal(entry, false, context);
+  }
+}
+
+void TakeOwnershipRows(Entry& entry, const StoreRows& reply, bool heard,
+                       Context& context) {
+  Ownership& it = entry.ownership;
+  const Instant now = context.at.now;
+  if (!heard) {
+    it.unchanged_since = now;
+    return;
+  }
+  bool renewed = !it.known;
+  it.known = true;
+  for (const Row& row : reply.rows) {
+    if (!row.value.is_object()) continue;
+    if (row.key == kEpochKey && row.revision > it.epoch_revision) {
+      it.epoch = row.value.value("epoch", std::int64_t{0});
+      it.epoch_revision = row.revision;
+      it.holder = row.value.value("holder", std::string());
+      const bool replaced = entry.owner.has_value() &&
+                            entry.owner->epoch_revision != row.revision;
+      if (replaced)
+        LoseOwnership(entry, "another host owns the fleet", context);
+      const bool won = !entry.owner.has_value() && !entry.stopping &&
+                       it.holder == entry.self.holder;
+      if (won)
+        BecomeOwner(entry, it.epoch, row.revision, it.claim_sent, context);
+      renewed = true;
+    }
+    if (row.key == kLeaseKey && row.revision > it.lease_revision) {
+      it.lease_revision = row.revision;
+      it.address = row.value.value("address", std::string());
+      it.released = row.value.value("released", false);
+      renewed = true;
+    }
+  }
+  if (renewed) it.unchanged_since = now;
+  if (entry.owner.has_value() || entry.stopping || it.open_claim != 0) return;
+  const bool unclaimed = it.epoch_revision == 0 || it.released;
+  const bool lapsed =
+      now - it.unchanged_since >= kTakeoverAfter + ClaimDelay(entry);
+  if ((unclaimed || lapsed) && it.next_claim <= now) SendClaim(entry, context);
+}
+
+bool TakeOwnershipReply(Entry& entry, std::int64_t id, const StoreRows& reply,
+                        Context& context) {
+  Ownership& it = entry.ownership;
+  if (id == 0) return false;
+  if (id == it.open_renewal) {
+    TakeRenewal(entry, reply, context);
+    return true;
+  }
+  if (id != it.open_claim) return false;
+  it.open_claim = 0;
+  const bool won = reply.status == StoreStatus::kOk && !entry.owner.has_value();
+  if (won) {
+    it.lease_revision = reply.revision;
+    BecomeOwner(entry, it.epoch + 1, reply.revision, it.claim_sent, context);
+  }
+  return true;
+}
+
+void ReleaseOwnership(Entry& entry, Context& context) {
+  if (!entry.owner.has_value()) return;
+  entry.owner->may_order_until = context.at.now;
+  entry.owner->steward_until = context.at.now;
+  SendRenewal(entry, true, context);
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Policy/placement.cc
@@ -0,0 +1,395 @@
+#include "Policy/placement.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "Model/text.h"
+#include "Policy/owner_runs.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Starts under way to one target; each takes a connection of its own, and
+/// targets allow 64.
+constexpr std::int64_t kOpenOrdersPerTarget = 8;
+/// Run numbers of an owner begin above those of all owners before.
+constexpr std::int64_t kRunsPerEpoch = 1000;
+/// How long an owner may go on without the store, see ownership.cc, and what
+/// it started at the end of that.
+constexpr Duration kPredecessorGone = milliseconds(6000 + 4500 + 500);
+/// Targets named in one request for approval.
+constexpr std::size_t kApprovalTargets = 30;
+constexpr Duration kApprovalRetry = milliseconds(200);
+constexpr Duration kApprovalTimeout = milliseconds(2000);
+constexpr Duration kApprovalSlack = milliseconds(100);
+
+enum class Standing {
+  kLasting,  ///< Has to be back at once.
+  kInTime,   ///< Can still meet its objective.
+  kLate,
+};
+
+/// A job's occurrence in its pool's order of work.
+struct Candidate {
+  Standing standing = Standing::kLate;
+  std::int64_t priority = 0;
+  Instant latest_start{};
+  Job* job = nullptr;
+  std::int64_t number = 0;
+  Occurrence* occurrence = nullptr;
+
+  auto Key() const { return std::tie(standing, priority, latest_start); }
+};
+
+struct PoolView {
+  std::vector<Candidate> candidates;
+  std::vector<TargetView*> targets;
+  bool unclear = false;  ///< An earlier owner's runs may be out of sight.
+};
+
+bool IsUsable(const TargetView& target, Instant now) {
+  return target.listed && target.synced && !target.entry.draining &&
+         !target.reserved && target.missed == 0 && target.avoid_until <= now &&
+         target.clock_ms.has_value();
+}
+
+Resources FreeOf(const TargetView& target) {
+  Resources free = target.entry.capacity;
+  free -= target.used;
+  return free;
+}
+
+std::string_view RackOf(const TargetView& target) {
+  // The kind comes first, the rack last.
+  return target.entry.labels.empty() ? std::string_view()
+                                     : target.entry.labels.back();
+}
+
+std::int64_t RunsOfStep(const TargetView& target, const TaskName& first) {
+  auto it =
+      target.runs.lower_bound({first.job, first.occurrence, first.step, 0});
+  std::int64_t n = 0;
+  for (;
+       it != target.runs.end() && it->first.job == first.job &&
+       it->first.occurrence == first.occurrence && it->first.step == first.step;
+       ++it) {
+    ++n;
+  }
+  return n;
+}
+
+class Placer {
+ public:
+  Placer(Owner& owner, Context& context) : owner_(owner), context_(context) {}
+
+  void Run() {
+    Collect();
+    for (auto& [name, pool] : pools_) {
+      std::stable_sort(pool.candidates.begin(), pool.candidates.end(),
+                       [](const Candidate& a, const Candidate& b) {
+                         return a.Key() < b.Key();
+                       });
+      for (const Candidate& it : pool.candidates) PlaceJob(pool, it);
+    }
+  }
+
+ private:
+  Instant now() const { return context_.at.now; }
+
+  void Collect() {
+    const bool settling =
+        owner_.epoch > 1 && now() < owner_.since + kPredecessorGone;
+    for (auto& [id, target] : owner_.targets) {
+      PoolView& pool = pools_[target.entry.pool];
+      if (settling && !target.synced) pool.unclear = true;
+      if (IsUsable(target, now())) pool.targets.push_back(&target);
+    }
+    for (const std::string& id : owner_.active) {
+      Job& job = owner_.jobs.at(id);
+      PoolView& pool = pools_[std::string(PoolOf(job, context_))];
+      if (pool.targets.empty()) continue;
+      const Queue* queue = QueueOf(job);
+      for (auto& [number, occurrence] : job.open) {
+        pool.candidates.push_back(Rank(job, queue, number, occurrence));
+      }
+    }
+  }
+
+  const Queue* QueueOf(const Job& job) const {
+    return context_.configuration == nullptr
+               ? nullptr
+               : FindQueue(*context_.configuration, job.record.queue);
+  }
+
+  Candidate Rank(Job& job, const Queue* queue, std::int64_t number,
+                 Occurrence& occurrence) const {
+    Candidate it{.job = &job, .number = number, .occurrence = &occurrence};
+    it.priority = queue == nullptr ? 0 : queue->priority;
+    it.latest_start = LatestStart(job, occurrence, queue);
+    const bool lasts = job.record.spec.steps.front().lasts;
+    it.standing = lasts ? Standing::kLasting
+                        : (it.latest_start >= now() ? Standing::kInTime
+                                                    : Standing::kLate);
+    return it;
+  }
+
+  void PlaceJob(PoolView& pool, const Candidate& candidate) {
+    Job& job = *candidate.job;
+    if (job.inherited && pool.unclear) return;
+    const auto steps =
+        static_cast<std::int64_t>(candidate.occurrence->steps.size());
+    for (std::int64_t s = 0; s < steps; ++s) {
+      StepProgress& step =
+          candidate.occurrence->steps[static_cast<std::size_t>(s)];
+      const bool complete =
+          step.done == static_cast<std::int64_t>(step.tasks.size());
+      if (complete || !IsReady(job, *candidate.occurrence, s)) continue;
+      const TaskName name{job.record.id, candidate.number, s, 0};
+      if (!Approved(pool, job, name)) continue;
+      if (StepOf(job, s).gang) {
+        PlaceGang(pool, job, name, step);
+      } else {
+        PlaceStep(pool, job, name, step);
+      }
+    }
+  }
+
+  bool IsRunnable(const Task& task) const {
+    return !task.done && task.targets.empty() && task.not_before <= now();
+  }
+
+  void PlaceStep(PoolView& pool, Job& job, TaskName name, StepProgress& step) {
+    for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+      Task& task = step.tasks[n];
+      if (!IsRunnable(task)) continue;
+      name.index = static_cast<std::int64_t>(n);
+      TargetView* target = Choose(pool, job, name, task);
+      if (target == nullptr) {
+        // The other tasks ask for the same, unless this one avoids a target.
+        if (task.failed_on.empty()) return;
+        continue;
+      }
+      Start(job, name, task, *target, NextRun(task.last_run));
+    }
+  }
+
+  bool WithinTeamCeiling(const Job& job, const Resources& need) const {
+    if (context_.configuration == nullptr || job.record.team.empty()) {
+      return true;
+    }
+    const Team* team = FindTeam(*context_.configuration, job.record.team);
+    if (team == nullptr) return true;
+    auto used = owner_.team_used.find(job.record.team);
+    return WithinCeiling(
+        used == owner_.team_used.end() ? Resources{} : used->second, need,
+        team->ceiling);
+  }
+
+  bool Allows(const TargetView& target, const Step& step,
+              const TaskName& name) const {
+    if (!step.needs_label.empty() &&
+        !HasLabel(target.entry, step.needs_label)) {
+      return false;
+    }
+    Resources need = step.need;
+    if (step.fills) need.cpu_milli = 0;
+    if (!Fits(need, FreeOf(target))) return false;
+    if (target.runs.count(name) > 0) return false;
+    if (step.max_per_target > 0 &&
+        RunsOfStep(target, name) >= step.max_per_target) {
+      return false;
+    }
+    if (owner_.approvals.empty()) return true;
+    auto approval = owner_.approvals.find(StepText(name));
+    return approval == owner_.approvals.end() ||
+           approval->second.tickets.count(target.entry.id) > 0;
+  }
+
+  /// The fullest target that has room; a lasting step is spread instead.
+  TargetView* Choose(PoolView& pool, const Job& job, const TaskName& name,
+                     const Task& task) {
+    const Step& step = StepOf(job, name.step);
+    if (!WithinTeamCeiling(job, step.need)) return nullptr;
+    TargetView* best = nullptr;
+    auto best_key = std::make_tuple(0L, 0L, 0L, 0L);
+    for (TargetView* target : pool.targets) {
+      if (!Allows(*target, step, name)) continue;
+      if (target->open_orders >= kOpenOrdersPerTarget) {
+        target->throttled = true;
+        continue;
+      }
+      const std::int64_t failed = task.failed_on.count(target->entry.id);
+      const std::int64_t far =
+          !step.data_rack.empty() && !HasLabel(target->entry, step.data_rack)
+              ? 1
+              : 0;
+      const std::int64_t same = step.lasts ? RunsOfStep(*target, name) : 0;
+      const auto key = std::make_tuple(
+          failed, far, same,
+          target->entry.capacity.cpu_milli - target->used.cpu_milli);
+      if (best == nullptr || key < best_key) {
+        best = target;
+        best_key = key;
+      }
+    }
+    return best;
+  }
+
+  std::int64_t NextRun(std::int64_t last) const {
+    return std::max(last, (owner_.epoch - 1) * kRunsPerEpoch) + 1;
+  }
+
+  void Start(Job& job, const TaskName& name, Task& task, TargetView& target,
+             std::int64_t number) {
+    fleet::Run& run = AddRun(owner_, target, job, name, number, now());
+    run.checkpoint = task.checkpoint;
+    ++owner_.starts;
+    SendStart(owner_, target, name, context_);
+    if (target.open_hold == 0) target.next_hold = now();
+    Note(context_, Severity::kInfo, "start_ordered",
+         {{"task", ToString(name)},
+          {"run", std::to_string(number)},
+          {"target", target.entry.id},
+          {"free_cpu_milli", std::to_string(FreeOf(target).cpu_milli)}});
+  }
+
+  /// Places all members of a gang or none.
+  void PlaceGang(PoolView& pool, Job& job, TaskName name, StepProgress& step) {
+    std::int64_t last = 0;
+    std::string checkpoint;
+    for (const Task& task : step.tasks) {
+      if (!task.targets.empty() || task.not_before > now()) return;
+      last = std::max(last, task.last_run);
+      if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
+    }
+    const Step& spec = StepOf(job, name.step);
+    Resources whole;
+    for (std::size_t n = 0; n < step.tasks.size(); ++n) whole += spec.need;
+    if (!WithinTeamCeiling(job, whole)) return;
+    std::vector<TargetView*> places;
+    if (spec.same_rack) {
+      std::set<std::string_view> racks;
+      for (const TargetView* it : pool.targets) racks.insert(RackOf(*it));
+      for (const std::string_view rack : racks) {
+        places = FindPlaces(pool, spec, name, step.tasks.size(), rack);
+        if (!places.empty()) break;
+      }
+    }
+    if (places.empty()) {
+      places = FindPlaces(pool, spec, name, step.tasks.size(), {});
+    }
+    if (places.empty()) return;
+    const std::int64_t number = NextRun(last);
+    for (std::size_t n = 0; n < places.size(); ++n) {
+      name.index = static_cast<std::int64_t>(n);
+      step.tasks[n].checkpoint = checkpoint;
+      Start(job, name, step.tasks[n], *places[n], number);
+    }
+  }
+
+  /// One target for each of `count` members; empty if there is no room.
+  std::vector<TargetView*> FindPlaces(const PoolView& pool, const Step& step,
+                                      const TaskName& name, std::size_t count,
+                                      std::string_view rack) const {
+    std::vector<TargetView*> places;
+    for (TargetView* target : pool.targets) {
+      if (!rack.empty() && RackOf(*target) != rack) continue;
+      if (!Allows(*target, step, name)) continue;
+      Resources free = FreeOf(*target);
+      std::int64_t here = RunsOfStep(*target, name);
+      while (places.size() < count && Fits(step.need, free) &&
+             (step.max_per_target == 0 || here < step.max_per_target)) {
+        places.push_back(target);
+        free -= step.need;
+        ++here;
+      }
+    }
+    if (places.size() < count) places.clear();
+    return places;
+  }
+
+  static std::string StepText(const TaskName& name) {
+    return StrCat(name.job, ".", name.occurrence, ".", name.step);
+  }
+
+  /// True if the step needs no approval or has one that is valid.
+  bool Approved(const PoolView& pool, const Job& job, const TaskName& name) {
+    const Queue* queue = QueueOf(job);
+    if (queue == nullptr || !queue->approval.has_value()) return true;
+    if (!context_.terms.approvals) return true;
+    Approval& approval = owner_.approvals[StepText(name)];
+    if (approval.valid_until > now() && !approval.tickets.empty()) return true;
+    if (approval.open_request != 0 || approval.retry_at > now()) return false;
+    approval.open_request = context_.next_id++;
+    approval.retry_at = now() + kApprovalRetry;
+    ApprovalRequest request{.id = approval.open_request,
+                            .step = StepText(name),
+                            .timeout = kApprovalTimeout};
+    std::vector<TargetView*> targets = pool.targets;
+    std::sort(targets.begin(), targets.end(),
+              [](const TargetView* a, const TargetView* b) {
+                return FreeOf(*a).cpu_milli > FreeOf(*b).cpu_milli;
+              });
+    for (const TargetView* it : targets) {
+      if (request.targets.size() == kApprovalTargets) break;
+      request.targets.push_back(it->entry.id);
+    }
+    context_.out.emplace_back(std::move(request));
+    return false;
+  }
+
+  Owner& owner_;
+  Context& context_;
+  std::map<std::string, PoolView> pools_;
+};
+
+}  // namespace
+
+std::string_view PoolOf(const Job& job, const Context& context) {
+  if (context.configuration != nullptr) {
+    const Queue* queue = FindQueue(*context.configuration, job.record.queue);
+    if (queue != nullptr) return queue->pool;
+  }
+  return job.record.pool;
+}
+
+Instant LatestStart(const Job& job, const Occurrence& occurrence,
+                    const Queue* queue) {
+  const double slack = queue == nullptr ? 1.0 : queue->slack_factor;
+  const std::int64_t target = queue == nullptr ? 0 : queue->latency_target_ms;
+  const auto whole = static_cast<double>(WholeChainMs(job.record.spec));
+  const auto allowed = static_cast<std::int64_t>(slack * whole) + target;
+  const Instant from =
+      job.record.spec.repeats > 0 ? occurrence.due : job.accepted;
+  return from + milliseconds(allowed - RemainingChainMs(job, occurrence));
+}
+
+void PlaceTasks(Owner& owner, Context& context) {
+  Placer(owner, context).Run();
+}
+
+bool TakeApproval(Owner& owner, std::int64_t id, const ApprovalReply& reply,
+                  Context& context) {
+  for (auto& [step, approval] : owner.approvals) {
+    if (approval.open_request != id) continue;
+    approval.open_request = 0;
+    if (reply.answered) {
+      approval.tickets = reply.tickets;
+      approval.valid_until =
+          context.at.now + milliseconds(reply.valid_ms) - kApprovalSlack;
+      approval.retry_at = context.at.now + kApprovalRetry;
+    }
+    Note(context, Severity::kInfo, "approval",
+         {{"step", step},
+          {"answered", reply.answered ? "yes" : "no"},
+          {"targets", std::to_string(reply.tickets.size())}});
+    owner.plan_due = true;
+    return true;
+  }
+  return false;
+}
+
+}  // namespace hyssopbarrow::fleet
