Owner: Take in holds and progress rows whole after a takeover

Cause: a new owner sent its first holds before the job rows were read, so the runs they listed were dropped as unknown and started again; progress rows were iterated over a temporary, so tasks that had ended were started again; the targets of hosts that had been moved stayed on the books until they were unlisted. Ruled out: commits that did not last. The log shows each row committed before its end was acknowledged. What is left begins in cuts of a zone.

--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -158,8 +158,11 @@
     job.state = *state;
     job.has_run = row.value("has_run", false);
     if (row.contains("finished")) row["finished"].get_to(job.finished);
-    for (const auto& [name, bits] :
-         row.value("done", nlohmann::json::object()).items()) {
+    const auto none = nlohmann::json::object();
+    const nlohmann::json done = row.value("done", none);
+    const nlohmann::json failures = row.value("failures", none);
+    const nlohmann::json saved_by_task = row.value("saved", none);
+    for (const auto& [name, bits] : done.items()) {
       const auto text = bits.get<std::string>();
       for (std::size_t n = 0; n < text.size(); ++n) {
         Task* task = task_at(StrCat(name, ".", n));
@@ -169,12 +172,10 @@
         task->done = text[n] == '1';
       }
     }
-    for (const auto& [name, n] :
-         row.value("failures", nlohmann::json::object()).items()) {
+    for (const auto& [name, n] : failures.items()) {
       if (Task* task = task_at(name)) n.get_to(task->failures);
     }
-    for (const auto& [name, saved] :
-         row.value("saved", nlohmann::json::object()).items()) {
+    for (const auto& [name, saved] : saved_by_task.items()) {
       if (Task* task = task_at(name)) saved.get_to(task->checkpoint);
     }
   } catch (const nlohmann::json::exception& e) {
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -78,8 +78,13 @@
     const absl::Status status =
         ApplyProgress(progress->second, context.at.now, job);
     if (!status.ok()) {
+      // What has been done is not known, so nothing of it may be started.
       Note(context, Severity::kError, "progress_unreadable",
            {{"job", id}, {"error", std::string(status.message())}});
+      job.state = JobState::kRunning;
+      owner.early_progress.erase(progress);
+      owner.jobs.emplace(id, std::move(job));
+      return;
     }
     if (IsFinal(job.state)) {
       job.final_stored = true;
@@ -101,6 +106,15 @@
   }
   owner.jobs.emplace(id, std::move(job));
   owner.plan_due = true;
+  for (auto& [name, target] : owner.targets) {
+    std::vector<ListedRun> found;
+    for (const auto& [task, run] : target.foreign) {
+      if (task.job == id) found.push_back(run.listed);
+    }
+    for (const ListedRun& it : found) {
+      TakeUnbooked(owner, target, it, context);
+    }
+  }
   if (owner.early_cancels.erase(id) > 0) CancelJob(owner, id, context);
 }
 
@@ -211,8 +225,9 @@
       owner.jobs_loaded && owner.progress_loaded && owner.targets_loaded;
   if (!loaded) return;
   const bool all = std::all_of(
-      owner.targets.begin(), owner.targets.end(),
-      [](const auto& it) { return it.second.synced || !it.second.listed; });
+      owner.targets.begin(), owner.targets.end(), [](const auto& it) {
+        return it.second.synced || it.second.over || !it.second.listed;
+      });
   if (!all && context.at.now < owner.since + kReadyWait) return;
   owner.ready = true;
   std::int64_t synced = 0;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -75,10 +75,17 @@
   std::string checkpoint;
 };
 
+/// A run that a target lists and whose job is not known (yet).
+struct ForeignRun {
+  ListedRun listed;
+  Instant since{};
+};
+
 /// A target as its owner knows it.
 struct TargetView {
   Target entry;
   bool listed = true;
+  bool over = false;  ///< Its host was moved or taken out: it runs nothing.
   std::map<TaskName, Run> runs;
   Resources used;
   std::int64_t ends_seen = 0;    ///< Highest end taken in.
@@ -96,8 +103,8 @@
   std::int64_t open_orders = 0;
   bool throttled = false;  ///< A start waits for open orders to be answered.
   bool reserved = false;   ///< Being emptied for a move or an upkeep.
-  std::map<TaskName, Instant> foreign;  ///< Runs of jobs that are not known.
-  std::set<std::string> failed_jobs;    ///< Jobs with a recent failure here.
+  std::map<TaskName, ForeignRun> foreign;  ///< Runs of jobs not known here.
+  std::set<std::string> failed_jobs;       ///< Jobs with a recent failure here.
 };
 
 struct OpenOrder {
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -124,53 +124,6 @@
   return task.targets.empty() || (step.allows_copies && !step.gang);
 }
 
-/// Takes in a listed run that is not on the books.
-void TakeUnbooked(Owner& owner, TargetView& target, const ListedRun& listed,
-                  Context& context) {
-  Job* job = FindJob(owner, listed.task.job);
-  const Instant now = context.at.now;
-  Task* task = job == nullptr ? nullptr : FindTask(*job, listed.task);
-  if (job != nullptr && task == nullptr) {
-    // An occurrence that was not opened here yet, or is complete.
-    const bool valid = listed.task.step >= 0 &&
-                       listed.task.step < static_cast<std::int64_t>(
-                                              job->record.spec.steps.size()) &&
-                       job->finished.count(listed.task.occurrence) == 0;
-    if (valid && !IsFinal(job->state)) {
-      job->open.try_emplace(listed.task.occurrence,
-                            NewOccurrence(job->record.spec, now));
-      task = FindTask(*job, listed.task);
-    }
-  }
-  if (task == nullptr) {
-    const auto [it, fresh] = target.foreign.try_emplace(listed.task, now);
-    if (job == nullptr && (fresh || now - it->second < kForeignPatience)) {
-      return;
-    }
-    TargetOrder stop{.kind = OrderKind::kStop};
-    stop.task = listed.task;
-    stop.run = listed.run;
-    SendOrder(owner, target, std::move(stop), false, context);
-    Note(context, Severity::kWarn, "stop_ordered",
-         {{"task", ToString(listed.task)},
-          {"run", std::to_string(listed.run)},
-          {"target", target.entry.id},
-          {"reason", "its job is unknown or has ended"}});
-    return;
-  }
-  const bool wanted = IsWanted(*job, *task, StepOf(*job, listed.task.step));
-  Run& run = AddRun(owner, target, *job, listed.task, listed.run, now);
-  run.confirmed_at = now;
-  run.phase = RunPhase::kRunning;
-  task->unknown_until = {};
-  Note(context, Severity::kInfo, "run_adopted",
-       {{"task", ToString(listed.task)},
-        {"run", std::to_string(listed.run)},
-        {"target", target.entry.id},
-        {"wanted", wanted ? "yes" : "no"}});
-  if (!wanted) StopRun(owner, target, listed.task, "not wanted", context);
-}
-
 void TakeListed(Owner& owner, TargetView& target, const ListedRun& listed,
                 Context& context) {
   auto it = target.runs.find(listed.task);
@@ -224,6 +177,10 @@
   }
   for (const ListedEnd& it : reply.ended) {
     if (it.number <= target.ends_seen) continue;
+    // An earlier owner may have started tasks of a job whose row is on its way.
+    const bool early = now < owner.since + kForeignPatience &&
+                       FindJob(owner, it.task.job) == nullptr;
+    if (early) break;
     const bool counts = !lapsed && it.number >= last_lapse;
     target.ends_seen = it.number;
     TakeEnd(owner, target, it, counts, context);
@@ -346,6 +303,52 @@
 
 }  // namespace
 
+void TakeUnbooked(Owner& owner, TargetView& target, const ListedRun& listed,
+                  Context& context) {
+  Job* job = FindJob(owner, listed.task.job);
+  const Instant now = context.at.now;
+  Task* task = job == nullptr ? nullptr : FindTask(*job, listed.task);
+  if (job != nullptr && task == nullptr) {
+    // An occurrence that was not opened here yet, or is complete.
+    const bool valid = listed.task.step >= 0 &&
+                       listed.task.step < static_cast<std::int64_t>(
+                                              job->record.spec.steps.size()) &&
+                       job->finished.count(listed.task.occurrence) == 0;
+    if (valid && !IsFinal(job->state)) {
+      job->open.try_emplace(listed.task.occurrence,
+                            NewOccurrence(job->record.spec, now));
+      task = FindTask(*job, listed.task);
+    }
+  }
+  if (task == nullptr) {
+    const auto [it, fresh] =
+        target.foreign.try_emplace(listed.task, ForeignRun{listed, now});
+    if (job == nullptr && now - it->second.since < kForeignPatience) return;
+    TargetOrder stop{.kind = OrderKind::kStop};
+    stop.task = listed.task;
+    stop.run = listed.run;
+    SendOrder(owner, target, std::move(stop), false, context);
+    Note(context, Severity::kWarn, "stop_ordered",
+         {{"task", ToString(listed.task)},
+          {"run", std::to_string(listed.run)},
+          {"target", target.entry.id},
+          {"reason", "its job is unknown or has ended"}});
+    return;
+  }
+  target.foreign.erase(listed.task);
+  const bool wanted = IsWanted(*job, *task, StepOf(*job, listed.task.step));
+  Run& run = AddRun(owner, target, *job, listed.task, listed.run, now);
+  run.confirmed_at = now;
+  run.phase = RunPhase::kRunning;
+  task->unknown_until = {};
+  Note(context, Severity::kInfo, "run_adopted",
+       {{"task", ToString(listed.task)},
+        {"run", std::to_string(listed.run)},
+        {"target", target.entry.id},
+        {"wanted", wanted ? "yes" : "no"}});
+  if (!wanted) StopRun(owner, target, listed.task, "not wanted", context);
+}
+
 bool TakeOrderReply(Owner& owner, std::int64_t id, const OrderReply& reply,
                     Context& context) {
   auto it = owner.orders.find(id);
@@ -363,7 +366,7 @@
     if (target.throttled) owner.plan_due = true;
     target.throttled = false;
   }
-  if (open.born != target.entry.born) return true;
+  if (open.born != target.entry.born || target.over) return true;
   const bool heard = reply.result != OrderResult::kNoReply &&
                      reply.result != OrderResult::kNotSent;
   if (!heard) {
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -239,8 +239,19 @@
   SendOrder(owner, target, std::move(order), true, context);
 }
 
+void EndTarget(Owner& owner, TargetView& target, std::string_view reason,
+               Context& context) {
+  if (target.over) return;
+  Note(context, Severity::kInfo, "target_over",
+       {{"target", target.entry.id}, {"reason", std::string(reason)}});
+  target.over = true;
+  target.foreign.clear();
+  DropAllRuns(owner, target, reason, context);
+}
+
 void AdvanceTarget(Owner& owner, TargetView& target, Context& context) {
   const Instant now = context.at.now;
+  if (target.over || !owner.jobs_loaded) return;
   const bool lapsed = target.synced && target.missed > 0 &&
                       now > target.lease_bound && !target.runs.empty();
   if (lapsed) DropAllRuns(owner, target, "lease ran out unheard", context);
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -47,6 +47,14 @@
 void SendStart(Owner& owner, TargetView& target, const TaskName& name,
                Context& context);
 
+/// Takes in a run that a target lists and that is not on the books.
+void TakeUnbooked(Owner& owner, TargetView& target, const ListedRun& listed,
+                  Context& context);
+
+/// Notes that a target's life has ended and what it ran with it.
+void EndTarget(Owner& owner, TargetView& target, std::string_view reason,
+               Context& context);
+
 /// Holds, retries and presumed losses that are due on one target.
 void AdvanceTarget(Owner& owner, TargetView& target, Context& context);
 
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -51,9 +51,9 @@
 };
 
 bool IsUsable(const TargetView& target, Instant now) {
-  return target.listed && target.synced && !target.entry.draining &&
-         !target.reserved && target.missed == 0 && target.avoid_until <= now &&
-         target.clock_ms.has_value();
+  return target.listed && !target.over && target.synced &&
+         !target.entry.draining && !target.reserved && target.missed == 0 &&
+         target.avoid_until <= now && target.clock_ms.has_value();
 }
 
 Resources FreeOf(const TargetView& target) {
@@ -104,7 +104,7 @@
         owner_.epoch > 1 && now() < owner_.since + kPredecessorGone;
     for (auto& [id, target] : owner_.targets) {
       PoolView& pool = pools_[target.entry.pool];
-      if (settling && !target.synced) pool.unclear = true;
+      if (settling && !target.synced && !target.over) pool.unclear = true;
       if (IsUsable(target, now())) pool.targets.push_back(&target);
     }
     for (const std::string& id : owner_.active) {
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -44,7 +44,7 @@
   Plan(Owner& owner, Context& context)
       : owner_(owner), steward_(owner.steward), context_(context) {
     for (auto& [id, target] : owner_.targets) {
-      if (target.listed) by_host_[target.entry.host] = &target;
+      if (target.listed && !target.over) by_host_[target.entry.host] = &target;
     }
   }
 
@@ -446,6 +446,21 @@
   std::map<std::string, TargetView*> by_host_;
 };
 
+/// A target that is not heard and whose host runs another one is over.
+void EndReplaced(Owner& owner, Context& context) {
+  for (auto& [id, target] : owner.targets) {
+    if (target.over || (target.synced && target.missed == 0)) continue;
+    auto host = owner.steward.hosts.find(target.entry.host);
+    if (host == owner.steward.hosts.end()) continue;
+    const Host& it = host->second.host;
+    const bool replaced = !it.target.empty() && it.target != id;
+    const bool off = it.target.empty() && it.state == HostState::kUp;
+    if (replaced || off) {
+      EndTarget(owner, target, "its host runs another target", context);
+    }
+  }
+}
+
 bool HasDuties(const Steward& steward) {
   const bool duties =
       std::any_of(steward.hosts.begin(), steward.hosts.end(),
@@ -484,6 +499,7 @@
     present.insert(it.name);
     steward.hosts[it.name].host = it;
   }
+  EndReplaced(owner, context);
   for (auto it = steward.hosts.begin(); it != steward.hosts.end();) {
     it =
         present.count(it->first) == 0 ? steward.hosts.erase(it) : std::next(it);
@@ -505,6 +521,10 @@
                          result == HostResult::kWrongWave ||
                          result == HostResult::kBusy;
     if (result == HostResult::kDone) {
+      for (auto& [target_id, target] : owner.targets) {
+        const bool left = target.entry.host == name && target.reserved;
+        if (left) EndTarget(owner, target, "its host was taken out", context);
+      }
       host.ordered_at = context.at.now;
       // Asked again only if the list still shows the host elsewhere by then.
       host.retry_at = context.at.now + context.terms.move + kListGapIdle;
