Owner: Order a start only once the store has it

Cause: while a zone was cut off, its former owner took its own leases to have run out and started tasks again that the new owner kept alive on the other side; and a new owner could not tell which tasks ran where it could not see. Weighed: a shorter time without the store, and waiting for all tasks of a pool with an unheard target (tried first: it blocks whole pools for 9 s in each cut). Taken: the progress row names target, life and run before the order is sent, in a commit that only the present owner can make.

--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::int64_t kMaxSteps = 100;
-constexpr std::int64_t kMaxTasks = 10'000;  ///< Of a job's timed run.
+/// Of a job's timed run; their progress has to fit into one row of 64 KiB.
+constexpr std::int64_t kMaxTasks = 1'000;
 constexpr std::size_t kMaxPayloadBytes =
     4'000;  ///< From the callers' contract.
 constexpr std::int64_t kMaxRepeats = 100'000;
@@ -35,7 +36,7 @@
 absl::Status ValidateStep(const Step& step, std::int64_t number) {
   const std::string at = StrCat("steps[", number, "].");
   if (!InRange(step.count, 1, kMaxTasks)) {
-    return Bad(StrCat(at, "count"), "from 1 to 10000");
+    return Bad(StrCat(at, "count"), "from 1 to 1000");
   }
   const Resources& need = step.need;
   const bool sane = InRange(need.cpu_milli, 0, kMaxAmount) &&
@@ -124,7 +125,7 @@
     if (absl::Status s = ValidateStep(step, n); !s.ok()) return s;
     tasks += step.count;
   }
-  if (tasks > kMaxTasks) return Bad("steps", "at most 10000 tasks in all");
+  if (tasks > kMaxTasks) return Bad("steps", "at most 1000 tasks in all");
   if (!InRange(spec.repeats, 0, kMaxRepeats)) {
     return Bad("repeats", "from 0 to 100000");
   }
--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -130,6 +130,10 @@
       for (std::size_t n = 0; n < step.tasks.size(); ++n) {
         const Task& task = step.tasks[n];
         if (task.done) continue;
+        for (const Sent& it : task.sent) {
+          row["sent"][StrCat(name, ".", n)].push_back(
+              {it.target, it.born, it.run});
+        }
         if (task.failures > 0) {
           row["failures"][StrCat(name, ".", n)] = task.failures;
         }
@@ -162,6 +166,7 @@
     const nlohmann::json done = row.value("done", none);
     const nlohmann::json failures = row.value("failures", none);
     const nlohmann::json saved_by_task = row.value("saved", none);
+    const nlohmann::json sent_by_task = row.value("sent", none);
     for (const auto& [name, bits] : done.items()) {
       const auto text = bits.get<std::string>();
       for (std::size_t n = 0; n < text.size(); ++n) {
@@ -178,6 +183,18 @@
     for (const auto& [name, saved] : saved_by_task.items()) {
       if (Task* task = task_at(name)) saved.get_to(task->checkpoint);
     }
+    for (const auto& [name, list] : sent_by_task.items()) {
+      Task* task = task_at(name);
+      if (task == nullptr) {
+        return absl::InvalidArgumentError("field 'sent' names no task");
+      }
+      for (const nlohmann::json& it : list) {
+        task->sent.push_back({.target = it.at(0).get<std::string>(),
+                              .born = it.at(1).get<std::int64_t>(),
+                              .run = it.at(2).get<std::int64_t>()});
+        task->last_run = std::max(task->last_run, task->sent.back().run);
+      }
+    }
   } catch (const nlohmann::json::exception& e) {
     return absl::InvalidArgumentError(e.what());
   }
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -13,16 +13,23 @@
 
 namespace hyssopbarrow::fleet {
 
+/// Where a task was sent to run.
+struct Sent {
+  std::string target;
+  std::int64_t born = 0;  ///< Life of the target.
+  std::int64_t run = 0;
+
+  friend bool operator==(const Sent&, const Sent&) = default;
+};
+
 /// One task as its owner knows it.
 struct Task {
   bool done = false;
   std::int64_t failures = 0;
   std::string checkpoint;
-  std::int64_t last_run = 0;         ///< Highest run number known.
-  std::vector<std::string> targets;  ///< Where runs of it are.
+  std::int64_t last_run = 0;  ///< Highest run number known.
+  std::vector<Sent> sent;     ///< Its runs on the books.
   Instant not_before{};
-  /// Until then a run may exist on a target that the owner cannot reach.
-  Instant unknown_until{};
   std::set<std::string> failed_on;  ///< Targets where it failed.
 };
 
@@ -49,7 +56,6 @@
   bool final_stored = false;  ///< The final state is in the store.
   std::int64_t row_revision = 0;
   Instant final_at{};
-  bool inherited = false;  ///< An earlier owner may have started tasks.
   std::int64_t next_occurrence = 0;  ///< First timed run not opened yet.
 };
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -61,13 +61,74 @@
   }
 }
 
+/// Takes the runs that a progress row names off the tasks.
+std::vector<std::pair<TaskName, Sent>> TakeSent(Job& job) {
+  std::vector<std::pair<TaskName, Sent>> all;
+  for (auto& [number, occurrence] : job.open) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      std::vector<Task>& tasks = occurrence.steps[s].tasks;
+      for (std::size_t n = 0; n < tasks.size(); ++n) {
+        const TaskName name{job.record.id, number, static_cast<std::int64_t>(s),
+                            static_cast<std::int64_t>(n)};
+        for (const Sent& it : tasks[n].sent) all.emplace_back(name, it);
+        tasks[n].sent.clear();
+      }
+    }
+  }
+  return all;
+}
+
+/// Runs of a job that wait for its row to be stored.
+void CollectStarts(const Owner& owner, const Job& job, OpenCommit& open) {
+  for (const auto& [number, occurrence] : job.open) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const std::vector<Task>& tasks = occurrence.steps[s].tasks;
+      for (std::size_t n = 0; n < tasks.size(); ++n) {
+        const TaskName name{job.record.id, number, static_cast<std::int64_t>(s),
+                            static_cast<std::int64_t>(n)};
+        for (const Sent& it : tasks[n].sent) {
+          const auto& runs = owner.targets.at(it.target).runs;
+          const auto run = runs.find(name);
+          const bool waits =
+              run != runs.end() && run->second.phase == RunPhase::kPlanned;
+          if (waits) open.starts.emplace_back(name, it);
+        }
+      }
+    }
+  }
+}
+
+/// Orders the starts whose rows are stored now.
+void OrderStarts(Owner& owner, const OpenCommit& open, Context& context) {
+  for (const auto& [name, sent] : open.starts) {
+    auto target = owner.targets.find(sent.target);
+    if (target == owner.targets.end()) continue;
+    auto run = target->second.runs.find(name);
+    const bool valid = run != target->second.runs.end() &&
+                       run->second.number == sent.run &&
+                       run->second.phase == RunPhase::kPlanned;
+    if (!valid) continue;
+    const bool usable = MayOrder(owner, context.at.now) &&
+                        IsUsable(target->second, context.at.now);
+    if (!usable) {
+      DropRun(owner, target->second, name);
+      continue;
+    }
+    run->second.phase = RunPhase::kOrdered;
+    run->second.ordered_at = context.at.now;
+    SendStart(owner, target->second, name, context);
+    if (target->second.open_hold == 0) {
+      target->second.next_hold = context.at.now;
+    }
+  }
+}
+
 void AddJob(Owner& owner, JobRecord record, const Row& row, bool live,
             Context& context) {
   const std::string id = record.id;
   Job job;
   job.record = std::move(record);
   job.row_revision = row.revision;
-  job.inherited = !live;
   const std::int64_t age =
       live ? 0
            : std::clamp<std::int64_t>(
@@ -93,9 +154,11 @@
     }
     owner.early_progress.erase(progress);
   }
+  std::vector<std::pair<TaskName, Sent>> sent;
   if (!IsFinal(job.state)) {
     OpenOccurrences(job, context.at);
     owner.active.insert(id);
+    sent = TakeSent(job);
   }
   if (live) {
     Note(context, Severity::kInfo, "job_taken",
@@ -104,8 +167,11 @@
           {"pool", job.record.pool},
           {"revision", std::to_string(row.revision)}});
   }
-  owner.jobs.emplace(id, std::move(job));
+  Job& added = owner.jobs.emplace(id, std::move(job)).first->second;
   owner.plan_due = true;
+  for (const auto& [name, it] : sent) {
+    BookSent(owner, added, name, it, context);
+  }
   for (auto& [name, target] : owner.targets) {
     std::vector<ListedRun> found;
     for (const auto& [task, run] : target.foreign) {
@@ -161,6 +227,7 @@
     it->second.changed = false;
     commit.writes.push_back({{Table::kProgress, id}, ProgressRow(it->second)});
     open.jobs[id] = IsFinal(it->second.state);
+    CollectStarts(owner, it->second, open);
   }
   bool ends = false;
   if (owner.changed_jobs.empty()) {
@@ -200,6 +267,7 @@
     auto it = owner.jobs.find(id);
     if (it != owner.jobs.end() && final) it->second.final_stored = true;
   }
+  OrderStarts(owner, open, context);
   for (const std::string& id : open.removed) owner.jobs.erase(id);
   for (const auto& [id, number] : open.ends) {
     auto it = owner.targets.find(id);
@@ -312,6 +380,8 @@
     auto [view, fresh] = owner.targets.try_emplace(it.id);
     TargetView& target = view->second;
     const bool reborn = !fresh && target.entry.born != it.born;
+    const bool only_booked = !fresh && target.entry.address.empty();
+    if (only_booked) owner.plan_due = true;
     if (fresh || reborn) {
       DropAllRuns(owner, target, "the target started again", context);
       const std::int64_t hold = target.open_hold;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -46,6 +46,7 @@
           std::vector<std::pair<std::string, std::string>> fields);
 
 enum class RunPhase {
+  kPlanned,   ///< On the books; no order before the store has it.
   kOrdered,   ///< The order to start was sent.
   kRunning,   ///< The target has it.
   kStopping,  ///< It is wanted no longer; still counts as room taken.
@@ -166,7 +167,8 @@
   std::map<std::string, bool> jobs;    ///< Whether the state written is final.
   std::vector<std::string> removed;    ///< Jobs whose rows are dropped.
   std::map<std::int64_t, bool> waves;  ///< Whether written as completed.
-  std::map<std::string, std::int64_t> ends;  ///< By target.
+  std::map<std::string, std::int64_t> ends;       ///< By target.
+  std::vector<std::pair<TaskName, Sent>> starts;  ///< To be ordered then.
 };
 
 /// All that the owner of the fleet knows and decides.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -38,8 +38,9 @@
                 Context& context) {
   const Task* task = FindTask(job, name);
   if (task == nullptr) return;
-  for (const std::string& id : std::vector<std::string>(task->targets)) {
-    StopRun(owner, owner.targets.at(id), name, "another copy is done", context);
+  for (const Sent& it : std::vector<Sent>(task->sent)) {
+    StopRun(owner, owner.targets.at(it.target), name, "another copy is done",
+            context);
   }
 }
 
@@ -108,7 +109,6 @@
     if (!task->done && !end.checkpoint.empty()) {
       task->checkpoint = end.checkpoint;
     }
-    task->unknown_until = {};
   }
   owner.plan_due = true;
   if (!counts) return;
@@ -121,7 +121,7 @@
 /// True if a run that the target lists may go on.
 bool IsWanted(const Job& job, const Task& task, const Step& step) {
   if (IsFinal(job.state) || task.done) return false;
-  return task.targets.empty() || (step.allows_copies && !step.gang);
+  return task.sent.empty() || (step.allows_copies && !step.gang);
 }
 
 void TakeListed(Owner& owner, TargetView& target, const ListedRun& listed,
@@ -340,7 +340,6 @@
   Run& run = AddRun(owner, target, *job, listed.task, listed.run, now);
   run.confirmed_at = now;
   run.phase = RunPhase::kRunning;
-  task->unknown_until = {};
   Note(context, Severity::kInfo, "run_adopted",
        {{"task", ToString(listed.task)},
         {"run", std::to_string(listed.run)},
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -20,6 +20,9 @@
 constexpr Duration kHoldWait = milliseconds(1400);
 constexpr Duration kOrderTimeout = milliseconds(700);  ///< 3 ms on a calm day.
 constexpr Duration kHoldRetry = milliseconds(250);
+/// Extensions by an earlier owner end so long after its successor began: the
+/// time for which it goes on without the store, see ownership.cc.
+constexpr Duration kPredecessorGoesOn = milliseconds(6000);
 constexpr Duration kOrderRetry = milliseconds(200);
 /// Between holds while ends cannot be stored.
 constexpr Duration kUnstoredHoldGap = milliseconds(500);
@@ -28,10 +31,6 @@
   return duration_cast<milliseconds>(d).count();
 }
 
-void Erase(std::vector<std::string>& values, const std::string& value) {
-  values.erase(std::remove(values.begin(), values.end(), value), values.end());
-}
-
 bool HoldIsDue(const TargetView& target) {
   return !target.runs.empty() || target.ends_told < target.ends_seen ||
          !target.synced;
@@ -86,12 +85,13 @@
   run.team_need = step.need;
   run.team = job.record.team;
   run.pool = target.entry.pool;
+  run.phase = RunPhase::kPlanned;
   run.ordered_at = now;
   run.progress_at = now;
   target.used += run.need;
   owner.team_used[run.team] += run.team_need;
   Task* task = FindTask(job, name);
-  task->targets.push_back(target.entry.id);
+  task->sent.push_back({target.entry.id, target.entry.born, number});
   task->last_run = std::max(task->last_run, number);
   if (!job.has_run) {
     job.has_run = true;
@@ -100,6 +100,25 @@
   return target.runs[name] = std::move(run);
 }
 
+void BookSent(Owner& owner, Job& job, const TaskName& name, const Sent& sent,
+              Context& context) {
+  auto [it, fresh] = owner.targets.try_emplace(sent.target);
+  TargetView& target = it->second;
+  if (fresh) {
+    target.entry.id = sent.target;
+    target.entry.born = sent.born;
+    target.entry.pool = job.record.pool;
+    target.listed = false;
+  }
+  if (target.entry.born != sent.born || target.synced) return;
+  target.lease_bound = std::max(target.lease_bound,
+                                owner.since + kPredecessorGoesOn +
+                                    LeaseOf(context.terms) + kLeaseWayMargin);
+  Run& run = AddRun(owner, target, job, name, sent.run, context.at.now);
+  run.phase = RunPhase::kRunning;
+  run.confirmed_at = owner.since;
+}
+
 void DropRun(Owner& owner, TargetView& target, const TaskName& name) {
   auto it = target.runs.find(name);
   if (it == target.runs.end()) return;
@@ -109,7 +128,9 @@
   auto job = owner.jobs.find(name.job);
   if (job != owner.jobs.end()) {
     if (Task* task = FindTask(job->second, name)) {
-      Erase(task->targets, target.entry.id);
+      std::erase_if(task->sent, [&](const Sent& sent) {
+        return sent.target == target.entry.id;
+      });
       if (!run.checkpoint.empty()) task->checkpoint = run.checkpoint;
     }
   }
@@ -137,6 +158,10 @@
   if (it == target.runs.end() || it->second.phase == RunPhase::kStopping) {
     return;
   }
+  if (it->second.phase == RunPhase::kPlanned) {
+    DropRun(owner, target, name);
+    return;
+  }
   it->second.phase = RunPhase::kStopping;
   it->second.retry_at = context.at.now;
   Note(context, Severity::kInfo, "stop_ordered",
@@ -157,9 +182,8 @@
       for (std::size_t n = 0; n < tasks.size(); ++n) {
         const TaskName name{job.record.id, number, static_cast<std::int64_t>(s),
                             static_cast<std::int64_t>(n)};
-        for (const std::string& id :
-             std::vector<std::string>(tasks[n].targets)) {
-          StopRun(owner, owner.targets.at(id), name, reason, context);
+        for (const Sent& it : std::vector<Sent>(tasks[n].sent)) {
+          StopRun(owner, owner.targets.at(it.target), name, reason, context);
         }
       }
     }
@@ -252,8 +276,9 @@
 void AdvanceTarget(Owner& owner, TargetView& target, Context& context) {
   const Instant now = context.at.now;
   if (target.over || !owner.jobs_loaded) return;
-  const bool lapsed = target.synced && target.missed > 0 &&
-                      now > target.lease_bound && !target.runs.empty();
+  const bool unheard = !target.synced || target.missed > 0;
+  const bool lapsed =
+      unheard && now > target.lease_bound && !target.runs.empty();
   if (lapsed) DropAllRuns(owner, target, "lease ran out unheard", context);
   if (!MayOrder(owner, now)) return;
   std::vector<TaskName> due;
@@ -269,7 +294,8 @@
     run.retry_at = now + kOrderRetry;
     RetryRunOrder(owner, target, it, run, context);
   }
-  if (target.open_hold != 0 || target.next_hold > now) return;
+  const bool known = !target.entry.address.empty();
+  if (!known || target.open_hold != 0 || target.next_hold > now) return;
   if (!HoldIsDue(target)) return;
   const bool unstored = target.ends_seen > target.ends_stored;
   target.next_hold =
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -43,7 +43,11 @@
 void SendOrder(Owner& owner, TargetView& target, TargetOrder order,
                bool extend_lease, Context& context);
 
-/// Orders the start of a run that is booked.
+/// Books a run that an earlier owner's progress row names.
+void BookSent(Owner& owner, Job& job, const TaskName& name, const Sent& sent,
+              Context& context);
+
+/// Orders the start of a run that is booked and stored.
 void SendStart(Owner& owner, TargetView& target, const TaskName& name,
                Context& context);
 
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -17,9 +17,6 @@
 constexpr std::int64_t kOpenOrdersPerTarget = 8;
 /// Run numbers of an owner begin above those of all owners before.
 constexpr std::int64_t kRunsPerEpoch = 1000;
-/// How long an owner may go on without the store, see ownership.cc, and what
-/// it started at the end of that.
-constexpr Duration kPredecessorGone = milliseconds(6000 + 4500 + 500);
 /// Targets named in one request for approval.
 constexpr std::size_t kApprovalTargets = 30;
 constexpr Duration kApprovalRetry = milliseconds(200);
@@ -47,15 +44,8 @@
 struct PoolView {
   std::vector<Candidate> candidates;
   std::vector<TargetView*> targets;
-  bool unclear = false;  ///< An earlier owner's runs may be out of sight.
 };
 
-bool IsUsable(const TargetView& target, Instant now) {
-  return target.listed && !target.over && target.synced &&
-         !target.entry.draining && !target.reserved && target.missed == 0 &&
-         target.avoid_until <= now && target.clock_ms.has_value();
-}
-
 Resources FreeOf(const TargetView& target) {
   Resources free = target.entry.capacity;
   free -= target.used;
@@ -100,11 +90,8 @@
   Instant now() const { return context_.at.now; }
 
   void Collect() {
-    const bool settling =
-        owner_.epoch > 1 && now() < owner_.since + kPredecessorGone;
     for (auto& [id, target] : owner_.targets) {
       PoolView& pool = pools_[target.entry.pool];
-      if (settling && !target.synced && !target.over) pool.unclear = true;
       if (IsUsable(target, now())) pool.targets.push_back(&target);
     }
     for (const std::string& id : owner_.active) {
@@ -138,7 +125,6 @@
 
   void PlaceJob(PoolView& pool, const Candidate& candidate) {
     Job& job = *candidate.job;
-    if (job.inherited && pool.unclear) return;
     const auto steps =
         static_cast<std::int64_t>(candidate.occurrence->steps.size());
     for (std::int64_t s = 0; s < steps; ++s) {
@@ -158,7 +144,7 @@
   }
 
   bool IsRunnable(const Task& task) const {
-    return !task.done && task.targets.empty() && task.not_before <= now();
+    return !task.done && task.sent.empty() && task.not_before <= now();
   }
 
   void PlaceStep(PoolView& pool, Job& job, TaskName name, StepProgress& step) {
@@ -247,9 +233,8 @@
     fleet::Run& run = AddRun(owner_, target, job, name, number, now());
     run.checkpoint = task.checkpoint;
     ++owner_.starts;
-    SendStart(owner_, target, name, context_);
-    if (target.open_hold == 0) target.next_hold = now();
-    Note(context_, Severity::kInfo, "start_ordered",
+    MarkChanged(owner_, job);
+    Note(context_, Severity::kInfo, "start_planned",
          {{"task", ToString(name)},
           {"run", std::to_string(number)},
           {"target", target.entry.id},
@@ -261,7 +246,7 @@
     std::int64_t last = 0;
     std::string checkpoint;
     for (const Task& task : step.tasks) {
-      if (!task.targets.empty() || task.not_before > now()) return;
+      if (!task.sent.empty() || task.not_before > now()) return;
       last = std::max(last, task.last_run);
       if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
     }
@@ -367,6 +352,12 @@
   return from + milliseconds(allowed - RemainingChainMs(job, occurrence));
 }
 
+bool IsUsable(const TargetView& target, Instant now) {
+  return target.listed && !target.over && target.synced &&
+         !target.entry.draining && !target.reserved && target.missed == 0 &&
+         target.avoid_until <= now && target.clock_ms.has_value();
+}
+
 void PlaceTasks(Owner& owner, Context& context) {
   Placer(owner, context).Run();
 }
--- a/Source/Policy/placement.h
+++ b/Source/Policy/placement.h
@@ -15,6 +15,9 @@
 Instant LatestStart(const Job& job, const Occurrence& occurrence,
                     const Queue* queue);
 
+/// True if tasks may be started on `target`.
+bool IsUsable(const TargetView& target, Instant now);
+
 /// Starts the tasks whose turn it is on targets that have room.
 void PlaceTasks(Owner& owner, Context& context);
 
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -103,8 +103,8 @@
   }
 
   bool IsAway(const TaskName& name, const Task& task) const {
-    for (const std::string& id : task.targets) {
-      auto target = owner_.targets.find(id);
+    for (const Sent& it : task.sent) {
+      auto target = owner_.targets.find(it.target);
       if (target == owner_.targets.end()) continue;
       auto run = target->second.runs.find(name);
       const bool works = run != target->second.runs.end() &&
@@ -249,7 +249,7 @@
           const auto step = static_cast<std::int64_t>(s);
           if (!IsReady(job, occurrence, step)) continue;
           for (const Task& it : occurrence.steps[s].tasks) {
-            const bool waits = !it.done && it.targets.empty();
+            const bool waits = !it.done && it.sent.empty();
             if (waits) {
               pool += static_cast<double>(StepOf(job, step).need.cpu_milli);
             }
@@ -450,6 +450,16 @@
 void EndReplaced(Owner& owner, Context& context) {
   for (auto& [id, target] : owner.targets) {
     if (target.over || (target.synced && target.missed == 0)) continue;
+    if (target.entry.host.empty()) {
+      // Known by its runs alone: any host may have had it.
+      const bool present =
+          std::any_of(owner.steward.hosts.begin(), owner.steward.hosts.end(),
+                      [&name = id](const auto& it) {
+                        return it.second.host.target == name;
+                      });
+      if (!present) EndTarget(owner, target, "no host runs it", context);
+      continue;
+    }
     auto host = owner.steward.hosts.find(target.entry.host);
     if (host == owner.steward.hosts.end()) continue;
     const Host& it = host->second.host;
