Http: Reset connections whose exchange timed out

A plain close leaves the bytes on their way. Ruled out: a late order of the new owner; its fence was the higher one.

--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <h2o.h>
 #include <h2o/http1client.h>
+#include <sys/socket.h>
 
 #include <map>
 #include <tuple>
@@ -31,6 +32,15 @@
   return text;
 }
 
+/// Has the connection reset when it is closed. A plain close would leave the
+/// request on its way, to arrive whenever the network lets it.
+void ResetOnClose(h2o_http1client_t* client) {
+  if (client->sock == nullptr) return;
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(h2o_socket_get_fd(client->sock), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof(reset));
+}
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -169,6 +179,7 @@
     auto it = exchanges.find(number);
     if (it == exchanges.end() || it->second->client == nullptr) return;
     Exchange& exchange = *it->second;
+    ResetOnClose(exchange.client);
     h2o_http1client_cancel(exchange.client);
     Finish(exchange, exchange.sent ? TransferResult::kTimedOut
                                    : TransferResult::kNotConnected);
@@ -215,7 +226,10 @@
   auto it = impl_->exchanges.find(exchange);
   if (it == impl_->exchanges.end()) return;
   impl_->loop.CancelTimer(it->second->timer);
-  if (it->second->client != nullptr) h2o_http1client_cancel(it->second->client);
+  if (it->second->client != nullptr) {
+    ResetOnClose(it->second->client);
+    h2o_http1client_cancel(it->second->client);
+  }
   impl_->exchanges.erase(it);
 }
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -498,9 +498,9 @@
     due = std::min(due, std::max(owner.next_commit, now));
   }
   for (const auto& [id, target] : owner.targets) {
-    const bool hold =
-        target.open_hold == 0 && (!target.runs.empty() || !target.synced ||
-                                  target.ends_told < target.ends_seen);
+    const bool hold = target.open_hold == 0 && !target.over &&
+                      owner.jobs_loaded && !target.entry.address.empty() &&
+                      HoldIsDue(target);
     if (hold) due = std::min(due, std::max(target.next_hold, now));
   }
   return due;
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -181,7 +181,13 @@
     const bool early = now < owner.since + kForeignPatience &&
                        FindJob(owner, it.task.job) == nullptr;
     if (early) break;
-    const bool counts = !lapsed && it.number >= last_lapse;
+    // A run that was ordered after the hold was sent is covered by the lease
+    // that came with its start.
+    const auto run = target.runs.find(it.task);
+    const bool younger = run != target.runs.end() &&
+                         run->second.number == it.run &&
+                         run->second.ordered_at >= open.sent_at;
+    const bool counts = (!lapsed || younger) && it.number >= last_lapse;
     target.ends_seen = it.number;
     TakeEnd(owner, target, it, counts, context);
   }
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -31,15 +31,10 @@
   return duration_cast<milliseconds>(d).count();
 }
 
-bool HoldIsDue(const TargetView& target) {
-  return !target.runs.empty() || target.ends_told < target.ends_seen ||
-         !target.synced;
-}
-
 void SendHold(Owner& owner, TargetView& target, Context& context) {
   const bool unstored = target.ends_seen > target.ends_stored;
   const bool lost = target.missed > 0;
-  const bool wait = target.synced && !lost && !unstored && !target.runs.empty();
+  const bool wait = target.synced && !lost && !unstored && HasRuns(target);
   TargetOrder order{.kind = OrderKind::kHold};
   order.ends_seen = target.ends_stored;
   order.wait = wait ? kHoldWait : Duration::zero();
@@ -71,6 +66,17 @@
                                 .fields = std::move(fields)});
 }
 
+bool HasRuns(const TargetView& target) {
+  return std::any_of(
+      target.runs.begin(), target.runs.end(),
+      [](const auto& it) { return it.second.phase != RunPhase::kPlanned; });
+}
+
+bool HoldIsDue(const TargetView& target) {
+  return HasRuns(target) || target.ends_told < target.ends_seen ||
+         !target.synced;
+}
+
 Duration LeaseOf(const Terms& terms) {
   return std::min(kLease, terms.longest_lease);
 }
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -55,6 +55,12 @@
 void TakeUnbooked(Owner& owner, TargetView& target, const ListedRun& listed,
                   Context& context);
 
+/// True if the target may run something of this owner's or an earlier one's.
+bool HasRuns(const TargetView& target);
+
+/// True if the target has to be heard: for its lease, its ends or its runs.
+bool HoldIsDue(const TargetView& target);
+
 /// Notes that a target's life has ended and what it ran with it.
 void EndTarget(Owner& owner, TargetView& target, std::string_view reason,
                Context& context);
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -106,6 +106,8 @@
     for (const Sent& it : task.sent) {
       auto target = owner_.targets.find(it.target);
       if (target == owner_.targets.end()) continue;
+      const bool heard = target->second.synced && target->second.missed == 0;
+      if (!heard) continue;
       auto run = target->second.runs.find(name);
       const bool works = run != target->second.runs.end() &&
                          run->second.phase == RunPhase::kRunning &&
