Owner: Send orders again that got no answer

Cause: the retry moved its own due time before it asked whether it was due, so an order without an answer was never sent again and its task never started (LOST on mix). Ruled out: a lost reply of the HTTP client; the order was answered as timed out each time.

--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -46,7 +46,8 @@
 
 void RetryRunOrder(Owner& owner, TargetView& target, const TaskName& name,
                    Run& run, Context& context) {
-  if (run.order_open || run.retry_at > context.at.now) return;
+  if (run.order_open) return;
+  run.retry_at = context.at.now + kOrderRetry;
   if (run.phase == RunPhase::kStopping && !run.stopped_at.has_value()) {
     run.order_open = true;
     SendOrder(owner, target,
@@ -296,9 +297,7 @@
     if (waits && unsettled && target.clock_ms.has_value()) due.push_back(name);
   }
   for (const TaskName& it : due) {
-    Run& run = target.runs.at(it);
-    run.retry_at = now + kOrderRetry;
-    RetryRunOrder(owner, target, it, run, context);
+    RetryRunOrder(owner, target, it, target.runs.at(it), context);
   }
   const bool known = !target.entry.address.empty();
   if (!known || target.open_hold != 0 || target.next_hold > now) return;
