Ownership: Take over sooner and be ready as soon as the rows are read

Cause: after the loss of all hosts jobs waited 4 s: the lease of a dead owner ran 1.6 s, the new owner waited 0.35 s for targets that were listed but gone, and gave no order to hosts for 3 s. Starts are stored before they are ordered, so a target that is not heard blocks only what is recorded on it, and waiting for all is needless. An earlier life of the same host cannot run on, so its lease is void; renewals every 0.35 s and a takeover after 1.2 s; hosts whose target is heard and older than the gap between two stewards may be ordered at once. Ruled out: lack of capacity; pools were half empty in these seconds.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -121,7 +121,8 @@
                  .body = FormatMetrics(metrics_, entry_)});
           }) {
   entry_.terms = settings.terms;
-  entry_.self = {.holder = settings.holder,
+  entry_.self = {.node = settings.node,
+                 .holder = settings.holder,
                  .address = ToString(settings.peers)};
 }
 
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -20,7 +20,7 @@
 /// Addresses and figures of one entry host.
 struct EntryHostSettings {
   std::string node;
-  std::string holder;  ///< Differs between two lives of the node.
+  std::string holder;  ///< NODE@LIFE, differs between two lives of the node.
   Address callers;
   Address readiness;
   Address peers;
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -14,6 +14,7 @@
 
 /// Who an entry host is.
 struct Identity {
+  std::string node;
   std::string holder;   ///< Differs between two lives of a host.
   std::string address;  ///< Where other entry hosts ask this one.
 
--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -134,7 +134,7 @@
           row["sent"][StrCat(name, ".", n)].push_back(
               {it.target, it.born, it.run});
         }
-        if (task.failures > 0) {
+        if (!task.failures.empty()) {
           row["failures"][StrCat(name, ".", n)] = task.failures;
         }
         if (!task.checkpoint.empty()) {
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -25,7 +25,9 @@
 /// One task as its owner knows it.
 struct Task {
   bool done = false;
-  std::int64_t failures = 0;
+  /// Runs that ended `failed`. Kept by number: a target lists an end again
+  /// until it is acknowledged.
+  std::set<std::int64_t> failures;
   std::string checkpoint;
   std::int64_t last_run = 0;  ///< Highest run number known.
   std::vector<Sent> sent;     ///< Its runs on the books.
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -22,8 +22,6 @@
 /// Lets ends that arrive together share a commit.
 constexpr Duration kCommitGap = milliseconds(8);
 constexpr Duration kCommitRetry = milliseconds(100);
-/// Unheard targets delay the first starts for no longer.
-constexpr Duration kReadyWait = milliseconds(350);
 constexpr Duration kSweepGap = milliseconds(250);
 /// Longest time for which jobs are kept beyond what callers are promised.
 constexpr Duration kRowSlack = milliseconds(30'000);
@@ -292,20 +290,11 @@
   const bool loaded =
       owner.jobs_loaded && owner.progress_loaded && owner.targets_loaded;
   if (!loaded) return;
-  const bool all = std::all_of(
-      owner.targets.begin(), owner.targets.end(), [](const auto& it) {
-        return it.second.synced || it.second.over || !it.second.listed;
-      });
-  if (!all && context.at.now < owner.since + kReadyWait) return;
   owner.ready = true;
-  std::int64_t synced = 0;
-  for (const auto& [id, target] : owner.targets)
-    synced += target.synced ? 1 : 0;
   Note(context, Severity::kInfo, "owner_ready",
        {{"epoch", std::to_string(owner.epoch)},
         {"jobs", std::to_string(owner.active.size())},
-        {"targets", std::to_string(owner.targets.size())},
-        {"heard", std::to_string(synced)}});
+        {"targets", std::to_string(owner.targets.size())}});
 }
 
 /// A target that is listed no longer is forgotten once it can run nothing.
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -183,7 +183,7 @@
   bool jobs_loaded = false;
   bool progress_loaded = false;
   bool targets_loaded = false;
-  bool ready = false;  ///< Targets were asked what they run.
+  bool ready = false;  ///< All of these are loaded.
 
   std::map<std::string, Job> jobs;
   std::set<std::string> active;  ///< Jobs without a final state.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -61,7 +61,7 @@
   Task* task = FindTask(job, end.task);
   if (task == nullptr || task->done || IsFinal(job.state)) return;
   const Step& step = StepOf(job, end.task.step);
-  ++task->failures;
+  if (!step.lasts && !task->failures.insert(end.run).second) return;
   task->failed_on.insert(target.entry.id);
   target.failed_jobs.insert(job.record.id);
   if (target.failed_jobs.size() >= kBadTargetJobs) {
@@ -76,12 +76,14 @@
       context.configuration == nullptr
           ? nullptr
           : FindQueue(*context.configuration, job.record.queue);
-  const std::int64_t attempts = queue == nullptr ? 1 : queue->max_attempts;
-  if (!step.lasts && task->failures >= attempts) {
-    FinishJob(owner, job, JobState::kFailed,
-              StrCat("task ", ToString(end.task), " failed ", task->failures,
-                     " times"),
-              context);
+  // Without its queue the number of attempts is not known: none is denied.
+  if (step.lasts || queue == nullptr) return;
+  const auto failures = static_cast<std::int64_t>(task->failures.size());
+  if (failures >= queue->max_attempts) {
+    FinishJob(
+        owner, job, JobState::kFailed,
+        StrCat("task ", ToString(end.task), " failed ", failures, " times"),
+        context);
   }
 }
 
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -9,10 +9,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kRenewGap = milliseconds(500);
+constexpr Duration kRenewGap = milliseconds(350);
 constexpr Duration kRenewRetry = milliseconds(150);
-/// An owner that has not renewed for so long is replaced. Three renewals.
-constexpr Duration kTakeoverAfter = milliseconds(1600);
+/// An owner that has not renewed for so long is replaced. Three renewals, also
+/// while the store takes 0.25 s for an answer.
+constexpr Duration kTakeoverAfter = milliseconds(1200);
 /// An owner counts its lease shorter than the others do.
 constexpr Duration kLeaseMargin = milliseconds(100);
 /// An owner that the store does not answer goes on for so long: the usual
@@ -46,6 +47,12 @@
                            : 0));
 }
 
+/// True if `holder` is an earlier life of this host, which cannot run on.
+bool IsPastLife(const Entry& entry, std::string_view holder) {
+  const std::string prefix = entry.self.node + "@";
+  return holder.starts_with(prefix) && holder != entry.self.holder;
+}
+
 void BecomeOwner(Entry& entry, std::int64_t epoch, std::int64_t revision,
                  Instant sent_at, Context& context) {
   Ownership& it = entry.ownership;
@@ -212,7 +219,8 @@
   }
   if (renewed) it.unchanged_since = now;
   if (entry.owner.has_value() || entry.stopping || it.open_claim != 0) return;
-  const bool unclaimed = it.epoch_revision == 0 || it.released;
+  const bool unclaimed =
+      it.epoch_revision == 0 || it.released || IsPastLife(entry, it.holder);
   const bool lapsed =
       now - it.unchanged_since >= kTakeoverAfter + ClaimDelay(entry);
   if ((unclaimed || lapsed) && it.next_claim <= now) SendClaim(entry, context);
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -19,6 +19,8 @@
 constexpr Duration kListGapBusy = milliseconds(500);
 constexpr Duration kListGapIdle = milliseconds(2000);
 constexpr Duration kOrderRetry = milliseconds(400);
+/// The times of day of two machines may differ by so much.
+constexpr Duration kClockDoubt = milliseconds(3000);
 constexpr Duration kWriteRetry = milliseconds(300);
 /// Part of a pool that may be out for upkeep while there is time.
 constexpr double kPoolPart = 0.25;
@@ -147,8 +149,17 @@
     }
   }
 
-  bool MayOrderHosts() const {
-    return now() < owner_.steward_until && now() >= steward_.orders_from;
+  /// An earlier owner may have ordered a host just before. Two owners must
+  /// not order one host in turn within the gap; a target that is heard and has
+  /// been up for longer shows that there was no such order.
+  bool MayOrderHost(const TargetView* target) const {
+    if (now() >= owner_.steward_until) return false;
+    if (now() >= steward_.orders_from) return true;
+    if (target == nullptr || !target->synced || target->missed > 0) {
+      return false;
+    }
+    const std::int64_t up_ms = context_.at.unix_ms - target->entry.born;
+    return milliseconds(up_ms) > context_.terms.turn_gap + kClockDoubt;
   }
 
   std::int64_t CountOut(std::int64_t wave) const {
@@ -396,7 +407,7 @@
       Evict(*target);
       return;
     }
-    if (!MayOrderHosts()) return;
+    if (!MayOrderHost(target)) return;
     if (!host.ordered && host.duty == Duty::kUpkeep) {
       const WaveView& wave = steward_.waves[host.wave];
       if (CountOut(host.wave) >= std::max<std::int64_t>(1, wave.wave.limit)) {
