Steward: Hold room for a rush as a part of all hosts

Cause: a pool's demand rises five-fold within a second, a host takes 1.5 s to move, so a pool with room for one more host queues work at each turn.

--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -30,9 +30,11 @@
 constexpr double kHurry = 0.6;
 /// A host counts as little used below this part of its capacity.
 constexpr double kLittleUsed = 0.34;
-/// Room held above the work that is known, in hosts and as a factor.
-constexpr double kSpareRoom = 1.0;
+/// Room that a pool holds above the work at hand: a factor, and a part of all
+/// hosts. Demand rises faster than a host moves; figures in
+/// docs/design/fleet.md.
 constexpr double kDemandFactor = 1.1;
+constexpr double kSpareRoomPart = 0.08;
 /// A pool keeps its hosts for so long after it last was short of them.
 constexpr Duration kKeepAfterRush = milliseconds(1500);
 
@@ -283,12 +285,14 @@
                           static_cast<double>(target.entry.capacity.cpu_milli));
     }
     if (host_cpu <= 0) return;
+    const double spare_room =
+        kSpareRoomPart * static_cast<double>(steward_.hosts.size());
     for (const auto& [name, pool] : context_.configuration->pools) {
       if (pool.spare) continue;
       auto it = work.find(name);
       const double cpu = it == work.end() ? 0 : it->second;
       needs[name].want =
-          std::max(1.0, kDemandFactor * cpu / host_cpu + kSpareRoom);
+          std::max(1.0, kDemandFactor * cpu / host_cpu + spare_room);
     }
     for (const auto& [name, host] : steward_.hosts) {
       if (host.duty == Duty::kMove) {
