--- /dev/null
+++ b/Tests/Fleet/world.h
@@ -0,0 +1,153 @@
+#ifndef HYSSOPBARROW_TESTS_FLEET_WORLD_H_
+#define HYSSOPBARROW_TESTS_FLEET_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Policy/entry.h"
+
+namespace hyssopbarrow::fleet {
+
+/// What may go wrong, as shares of messages.
+struct Trouble {
+  double lost_replies = 0;  ///< The request takes effect, nobody answers.
+  double late_orders = 0;   ///< Unanswered, carried out 2 to 8 s later.
+};
+
+/// Several entry hosts, a store, targets and callers in virtual time, one seed
+/// deciding everything. Checks the promises as the targets and callers see
+/// them; each breach is a line in `breaches`.
+class World {
+ public:
+  World(std::uint64_t seed, int entries, int targets);
+
+  /// Lets `duration` pass.
+  void Run(Duration duration);
+
+  /// Calls `action` after `delay`.
+  void After(Duration delay, std::function<void()> action);
+
+  /// Hands in a job at some entry host, again until it is accepted.
+  void Submit(const std::string& id, JobSpec spec);
+  void Cancel(const std::string& id);
+
+  void KillEntry(int n);     ///< A new life starts 0.5 s later.
+  void StopEntry(int n);     ///< A planned stop; a new life 1 s later.
+  void FreezeEntry(int n, Duration duration);
+  void CutFromStore(int n, bool cut) { entries_[At(n)].no_store = cut; }
+  void CutFromTargets(int n, const std::set<int>& targets);
+  void CrashTarget(int n);   ///< Silent for good; unlisted after 4.5 s.
+  void SetStoreDown(bool down) { store_down_ = down; }
+  void AddWave(Wave wave);
+
+  /// The entry host that owns the fleet, -1 if none does.
+  int OwnerIndex() const;
+  const Entry& entry(int n) const { return *entries_[At(n)].core; }
+
+  /// What the callers are shown; pending if nobody knows.
+  JobState StateOf(const std::string& id) const;
+  std::int64_t StartsOf(const TaskName& name) const;
+  std::size_t accepted() const { return accepted_.size(); }
+  bool WaveShownCompleted(std::int64_t number) const;
+
+  Trouble trouble;
+  std::set<std::string> hopeless;  ///< Jobs whose tasks fail everywhere.
+  Duration task_time = std::chrono::milliseconds(400);
+  std::vector<std::string> breaches;
+
+ private:
+  struct EntryHost {
+    std::unique_ptr<Entry> core;
+    std::int64_t life = 0;
+    bool no_store = false;
+    std::set<int> no_targets;
+    std::int64_t frozen_until = 0;
+    std::int64_t next_tick = 0;
+  };
+
+  struct RunHere {
+    std::int64_t run = 0;
+    std::int64_t number = 0;  ///< Distinguishes a run from a later one.
+    bool works = true;
+  };
+
+  struct TargetHere {
+    Target entry;
+    bool dead = false;
+    bool listed = true;
+    std::int64_t token = 0;
+    std::int64_t lease_until_ms = 0;
+    std::map<TaskName, RunHere> runs;
+    std::map<TaskName, std::int64_t> ended_runs;
+    std::vector<ListedEnd> ends;
+    std::int64_t next_end = 1;
+    /// Holds that wait for an end.
+    std::vector<std::function<void()>> waiting;
+  };
+
+  static std::size_t At(int n) { return static_cast<std::size_t>(n); }
+  std::int64_t NowMs() const { return now_us_ / 1000; }
+  Moment MomentNow() const;
+  double Random();
+  std::int64_t Latency();
+  void StartEntry(int n);
+  void Do(int n, std::int64_t life, std::function<void(Entry&, Effects&)> event);
+  void Execute(int n, const Effects& effects);
+  void Deliver(int n, std::function<void(Entry&, Effects&)> event,
+               std::int64_t delay_us);
+  StoreRows ReadTable(const ReadRows& request) const;
+  StoreRows ChangesAfter(const WatchRows& request) const;
+  StoreRows Apply(const CommitRows& commit);
+  void Watch(int n, std::int64_t life, const WatchRows& request,
+             std::int64_t until_us);
+  void Send(int n, const TargetOrder& order);
+  OrderReply Carry(int target, const TargetOrder& order);
+  void Start(int target, const TargetOrder& order);
+  void End(int target, const TaskName& name, std::int64_t number, EndKind kind);
+  void CheckLease(int target);
+  void CheckStart(int target, const TargetOrder& order);
+  void Answered(const CallAnswered& answer);
+  void Try(const std::string& id);
+  HostList Hosts() const;
+  HostResult CarryHost(const HostOrder& order);
+  void Breach(const std::string& text);
+
+  std::mt19937_64 rng_;
+  std::int64_t now_us_ = 0;
+  std::multimap<std::int64_t, std::function<void()>> events_;
+  std::vector<EntryHost> entries_;
+  std::vector<TargetHere> targets_;
+  std::map<RowRef, Row> rows_;
+  std::vector<std::pair<RowRef, Row>> changes_;
+  std::int64_t revision_ = 0;
+  bool store_down_ = false;
+  Configuration configuration_;
+  std::map<std::int64_t, Wave> waves_;
+  std::map<std::string, JobSpec> specs_;
+  std::set<std::string> accepted_;
+  std::set<std::string> cancelled_;
+  std::map<std::int64_t, std::string> call_jobs_;
+  std::map<std::int64_t, CallKind> call_kinds_;
+  std::int64_t next_call_ = 1;
+  std::map<TaskName, std::int64_t> starts_;
+  std::map<TaskName, std::int64_t> failures_;
+  std::set<TaskName> done_;           ///< Some run has ended `done`.
+  std::set<TaskName> acknowledged_;   ///< And a hold has acknowledged it.
+  std::int64_t next_number_ = 1;
+  std::int64_t wave_out_ = 0;
+  std::set<std::string> serviced_;
+};
+
+/// A job of `count` equal tasks, with a second step of as many behind it if
+/// `chained`.
+JobSpec SimpleJob(std::int64_t count, bool chained);
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_TESTS_FLEET_WORLD_H_
--- /dev/null
+++ b/Tests/Fleet/world_test.cc
@@ -0,0 +1,263 @@
+#include "Fleet/world.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "Model/text.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string JobId(int n) {
+  const std::string digits = std::to_string(n);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+void ExpectNoBreach(const World& world) {
+  CAPTURE(world.breaches);
+  CHECK(world.breaches.empty());
+}
+
+/// Hands in `count` jobs, 100 ms apart.
+void SubmitMany(World& world, int count, bool chained) {
+  for (int n = 0; n < count; ++n) {
+    world.After(milliseconds(100) * n, [&world, n, chained] {
+      world.Submit(JobId(n), SimpleJob(4, chained));
+    });
+  }
+}
+
+void ExpectAll(const World& world, int count, JobState state) {
+  for (int n = 0; n < count; ++n) {
+    CAPTURE(n);
+    CHECK(world.StateOf(JobId(n)) == state);
+  }
+}
+
+TEST_CASE("a job with two steps is accepted, run and shown as completed") {
+  World world(1, 3, 6);
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(5, true));
+  world.Run(seconds(4));
+  CHECK(world.accepted() == 1);
+  CHECK(world.StateOf(JobId(1)) == JobState::kCompleted);
+  for (std::int64_t n = 0; n < 5; ++n) {
+    CHECK(world.StartsOf({JobId(1), 0, 0, n}) == 1);
+    CHECK(world.StartsOf({JobId(1), 0, 1, n}) == 1);
+  }
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("a hopeless job fails after its attempts and taints no target") {
+  World world(2, 3, 6);
+  world.hopeless.insert(JobId(1));
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(2, false));
+  world.Submit(JobId(2), SimpleJob(2, false));
+  world.Run(seconds(5));
+  CHECK(world.StateOf(JobId(1)) == JobState::kFailed);
+  CHECK(world.StateOf(JobId(2)) == JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("a successor keeps what runs and starts nothing of it again") {
+  World world(3, 3, 6);
+  world.task_time = seconds(4);
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(4, true));
+  world.Run(seconds(1));
+  const int owner = world.OwnerIndex();
+  REQUIRE(owner >= 0);
+  SECTION("killed") { world.KillEntry(owner); }
+  SECTION("stopped as planned") { world.StopEntry(owner); }
+  SECTION("frozen for longer than its lease") {
+    world.FreezeEntry(owner, seconds(3));
+  }
+  SECTION("cut off from the store") { world.CutFromStore(owner, true); }
+  world.Run(seconds(16));
+  CHECK(world.StateOf(JobId(1)) == JobState::kCompleted);
+  for (std::int64_t n = 0; n < 4; ++n) {
+    CHECK(world.StartsOf({JobId(1), 0, 0, n}) == 1);
+  }
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("an owner in a cut zone does not start again what others keep") {
+  World world(4, 4, 8);
+  world.task_time = seconds(9);
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(16, false));
+  world.Run(seconds(1));
+  const int owner = world.OwnerIndex();
+  REQUIRE(owner >= 0);
+  // The owner keeps targets 0 to 2, the others keep the rest.
+  world.CutFromStore(owner, true);
+  for (int n = 0; n < 4; ++n) {
+    world.CutFromTargets(n, n == owner ? std::set<int>{3, 4, 5, 6, 7}
+                                       : std::set<int>{0, 1, 2});
+  }
+  world.Run(seconds(6));
+  world.CutFromStore(owner, false);
+  for (int n = 0; n < 4; ++n) world.CutFromTargets(n, {});
+  world.Run(seconds(30));
+  CHECK(world.StateOf(JobId(1)) == JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("tasks of a target that crashed are run elsewhere") {
+  World world(5, 3, 4);
+  world.task_time = seconds(2);
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(8, false));
+  world.Run(milliseconds(600));
+  world.CrashTarget(0);
+  world.CrashTarget(1);
+  world.Run(seconds(15));
+  CHECK(world.StateOf(JobId(1)) == JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("orders without answer are sent again, whenever they take effect") {
+  const auto seed = GENERATE(range<std::uint64_t>(1, 9));
+  World world(seed, 3, 6);
+  world.Run(seconds(1));
+  world.trouble.late_orders = 0.1;
+  SubmitMany(world, 20, true);
+  world.Run(seconds(12));
+  world.trouble.late_orders = 0;
+  world.Run(seconds(20));
+  CAPTURE(seed);
+  ExpectAll(world, 20, JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("lost replies of store and targets lose and repeat nothing") {
+  const auto seed = GENERATE(range<std::uint64_t>(11, 19));
+  World world(seed, 3, 6);
+  world.hopeless.insert(JobId(3));
+  world.Run(seconds(1));
+  world.trouble.lost_replies = 0.2;
+  SubmitMany(world, 20, true);
+  world.Run(seconds(10));
+  world.trouble.lost_replies = 0;
+  world.Run(seconds(20));
+  CAPTURE(seed);
+  CHECK(world.accepted() == 20);
+  CHECK(world.StateOf(JobId(3)) == JobState::kFailed);
+  CHECK(world.StateOf(JobId(4)) == JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("while the store is away leases are extended and work goes on after") {
+  World world(6, 3, 6);
+  world.task_time = seconds(6);
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(4, true));
+  world.Run(seconds(1));
+  world.SetStoreDown(true);
+  world.Run(milliseconds(4500));
+  world.SetStoreDown(false);
+  world.Run(seconds(25));
+  CHECK(world.StateOf(JobId(1)) == JobState::kCompleted);
+  for (std::int64_t n = 0; n < 4; ++n) {
+    CHECK(world.StartsOf({JobId(1), 0, 0, n}) == 1);
+  }
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("lasting tasks are back after their target crashed, and end") {
+  World world(7, 3, 4);
+  JobSpec spec = SimpleJob(3, false);
+  spec.steps[0].lasts = true;
+  world.Run(seconds(1));
+  world.Submit(JobId(1), spec);
+  world.Run(seconds(2));
+  world.CrashTarget(0);
+  world.CrashTarget(1);
+  world.Run(seconds(9));
+  std::int64_t starts = 0;
+  for (std::int64_t n = 0; n < 3; ++n) {
+    starts += world.StartsOf({JobId(1), 0, 0, n});
+  }
+  CHECK(starts > 3);
+  world.Cancel(JobId(1));
+  world.Run(seconds(3));
+  CHECK(world.StateOf(JobId(1)) == JobState::kCancelled);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("a wave empties its hosts first and keeps to its limit") {
+  World world(8, 3, 8);
+  world.Run(seconds(1));
+  SubmitMany(world, 40, false);
+  Wave wave{.number = 1, .duration_ms = 20'000, .limit = 2};
+  for (int n = 0; n < 5; ++n) wave.hosts.push_back(StrCat("m-", n));
+  world.AddWave(wave);
+  world.Run(seconds(22));
+  CHECK(world.WaveShownCompleted(1));
+  ExpectAll(world, 40, JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
+/// One fault at a random moment.
+void Strike(World& world, std::mt19937_64& rng) {
+  const int n = static_cast<int>(rng() % 4);
+  switch (rng() % 7) {
+    case 0:
+      world.KillEntry(std::max(0, world.OwnerIndex()));
+      return;
+    case 1:
+      world.StopEntry(std::max(0, world.OwnerIndex()));
+      return;
+    case 2:
+      world.FreezeEntry(std::max(0, world.OwnerIndex()),
+                        milliseconds(500 + rng() % 4000));
+      return;
+    case 3:
+      world.CutFromStore(n, true);
+      world.After(seconds(5), [&world, n] { world.CutFromStore(n, false); });
+      return;
+    case 4:
+      world.CutFromTargets(n, {0, 1, 2, 3});
+      world.After(seconds(6), [&world, n] { world.CutFromTargets(n, {}); });
+      return;
+    case 5:
+      world.SetStoreDown(true);
+      world.After(seconds(3), [&world] { world.SetStoreDown(false); });
+      return;
+    default:
+      world.CrashTarget(static_cast<int>(rng() % 3));
+      return;
+  }
+}
+
+TEST_CASE("faults in series break no promise") {
+  const auto seed = GENERATE(range<std::uint64_t>(100, 140));
+  std::mt19937_64 rng(seed);
+  World world(seed, 4, 10);
+  world.hopeless = {JobId(5), JobId(17)};
+  world.Run(seconds(1));
+  world.trouble = {.lost_replies = 0.03, .late_orders = 0.02};
+  SubmitMany(world, 60, true);
+  for (int n = 0; n < 5; ++n) {
+    world.After(milliseconds(rng() % 8000), [&] { Strike(world, rng); });
+  }
+  world.Run(seconds(14));
+  world.trouble = {};
+  world.Run(seconds(30));
+  CAPTURE(seed);
+  CHECK(world.accepted() == 60);
+  for (int n = 0; n < 60; ++n) {
+    CAPTURE(n);
+    const JobState expected =
+        n == 5 || n == 17 ? JobState::kFailed : JobState::kCompleted;
+    CHECK(world.StateOf(JobId(n)) == expected);
+  }
+  ExpectNoBreach(world);
+}
+
+}  // namespace
+}  // namespace hyssopbarrow::fleet
