Owner: Let the lease of an unheard target run out

Cause: each repeated order to start carried a fresh lease, so a target that was not heard was never given up and the tasks sent to it never ran elsewhere. Ruled out: lost bookings; the run was on the books of a target with 178 orders without answer.

--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -229,7 +229,12 @@
                  .sent_at = context.at.now,
                  .lease_before_ms = target.lease_until_ms,
                  .born = target.entry.born};
-  if (extend_lease) {
+  if (extend_lease && target.missed > 0) {
+    // Work on a target that is not heard is given up when its lease ends, so
+    // nothing may extend that.
+    order.lease_until_ms = target.lease_until_ms;
+    open.order.lease_until_ms = order.lease_until_ms;
+  } else if (extend_lease) {
     const Instant now = context.at.now;
     const Duration lease = LeaseOf(context.terms);
     const std::int64_t clock =
