--- a/Tests/Fleet/job_table_test.cc
+++ b/Tests/Fleet/job_table_test.cc
@@ -43,16 +43,16 @@
 }
 
 TEST_CASE("a progress row that cannot be read is an error") {
-  const auto row = GENERATE(
-      R"({})", R"({"state":"lost"})", R"({"state":7})",
-      R"({"state":"running","done":{"0.0":7}})",
-      R"({"state":"running","done":{"0.9":"1"}})",
-      R"({"state":"running","done":{"0.0":"0000000"}})",
-      R"({"state":"running","failures":{"0.0.0":"x"}})",
-      R"({"state":"running","saved":{"0.0.0":5}})",
-      R"({"state":"running","sent":{"0.0.0":[["i-1"]]}})",
-      R"({"state":"running","sent":{"0.7.0":[["i-1",1,1]]}})",
-      R"({"state":"running","finished":"all"})");
+  const auto row =
+      GENERATE(R"({})", R"({"state":"lost"})", R"({"state":7})",
+               R"({"state":"running","done":{"0.0":7}})",
+               R"({"state":"running","done":{"0.9":"1"}})",
+               R"({"state":"running","done":{"0.0":"0000000"}})",
+               R"({"state":"running","failures":{"0.0.0":"x"}})",
+               R"({"state":"running","saved":{"0.0.0":5}})",
+               R"({"state":"running","sent":{"0.0.0":[["i-1"]]}})",
+               R"({"state":"running","sent":{"0.7.0":[["i-1",1,1]]}})",
+               R"({"state":"running","finished":"all"})");
   Job job = NewJob(SimpleJob(3, true));
   CAPTURE(row);
   CHECK_FALSE(ApplyProgress(nlohmann::json::parse(row), {}, job).ok());
--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -99,9 +99,8 @@
 void World::StopEntry(int n) {
   EntryHost& host = entries_[At(n)];
   if (host.core == nullptr) return;
-  Do(n, host.life, [this](Entry& entry, Effects& out) {
-    OnStop(entry, MomentNow(), out);
-  });
+  Do(n, host.life,
+     [this](Entry& entry, Effects& out) { OnStop(entry, MomentNow(), out); });
   After(Duration(2 * kRestartUs), [this, n, life = host.life] {
     if (entries_[At(n)].life == life) KillEntry(n);
   });
@@ -154,10 +153,9 @@
   EntryHost& host = entries_[At(n)];
   if (host.life != life || host.core == nullptr) return;
   if (host.frozen_until > now_us_) {
-    events_.emplace(host.frozen_until,
-                    [this, n, life, event = std::move(event)] {
-                      Do(n, life, event);
-                    });
+    events_.emplace(
+        host.frozen_until,
+        [this, n, life, event = std::move(event)] { Do(n, life, event); });
     return;
   }
   Effects effects;
@@ -170,10 +168,8 @@
 
 void World::Deliver(int n, std::function<void(Entry&, Effects&)> event,
                     std::int64_t delay_us) {
-  After(Duration(delay_us),
-        [this, n, life = entries_[At(n)].life, event = std::move(event)] {
-          Do(n, life, event);
-        });
+  After(Duration(delay_us), [this, n, life = entries_[At(n)].life,
+                             event = std::move(event)] { Do(n, life, event); });
 }
 
 void World::Execute(int n, const Effects& effects) {
@@ -193,51 +189,56 @@
     }
     const std::int64_t there = Latency();
     const bool lost = Random() < trouble.lost_replies;
-    After(Duration(there), [this, n, call, answer, lost, writes,
-                            life = entries_[At(n)].life] {
-      StoreRows rows = call();
-      if (lost) {
-        rows = {};
-        rows.status =
-            writes ? StoreStatus::kUnknown : StoreStatus::kUnavailable;
-      }
-      After(Duration(lost ? kTimeoutUs : Latency()),
-            [this, n, life, answer, rows] { Do(n, life, answer(rows)); });
-    });
+    After(Duration(there),
+          [this, n, call, answer, lost, writes, life = entries_[At(n)].life] {
+            StoreRows rows = call();
+            if (lost) {
+              rows = {};
+              rows.status =
+                  writes ? StoreStatus::kUnknown : StoreStatus::kUnavailable;
+            }
+            After(Duration(lost ? kTimeoutUs : Latency()),
+                  [this, n, life, answer, rows] { Do(n, life, answer(rows)); });
+          });
   };
   for (const Effect& effect : effects) {
     if (const auto* read = std::get_if<ReadRows>(&effect)) {
-      store(read->id, [this, it = *read] { return ReadTable(it); }, false);
+      store(
+          read->id, [this, it = *read] { return ReadTable(it); }, false);
     } else if (const auto* watch = std::get_if<WatchRows>(&effect)) {
       Watch(n, entries_[At(n)].life, *watch, now_us_ + watch->wait.count());
     } else if (const auto* commit = std::get_if<CommitRows>(&effect)) {
-      store(commit->id, [this, it = *commit] { return Apply(it); }, true);
+      store(
+          commit->id, [this, it = *commit] { return Apply(it); }, true);
     } else if (const auto* order = std::get_if<TargetOrder>(&effect)) {
       Send(n, *order);
     } else if (const auto* list = std::get_if<ListHosts>(&effect)) {
-      Deliver(n,
-              [this, id = list->id, hosts = Hosts()](Entry& e, Effects& out) {
-                OnHosts(e, id, hosts, MomentNow(), out);
-              },
-              Latency());
+      Deliver(
+          n,
+          [this, id = list->id, hosts = Hosts()](Entry& e, Effects& out) {
+            OnHosts(e, id, hosts, MomentNow(), out);
+          },
+          Latency());
     } else if (const auto* host = std::get_if<HostOrder>(&effect)) {
       const HostResult result = CarryHost(*host);
-      Deliver(n,
-              [this, id = host->id, result](Entry& e, Effects& out) {
-                OnHostReply(e, id, result, MomentNow(), out);
-              },
-              Latency());
+      Deliver(
+          n,
+          [this, id = host->id, result](Entry& e, Effects& out) {
+            OnHostReply(e, id, result, MomentNow(), out);
+          },
+          Latency());
     } else if (const auto* ask = std::get_if<AskOwner>(&effect)) {
       OwnerReply reply;
       const int owner = std::stoi(ask->address);
       if (entries_[At(owner)].core != nullptr) {
         reply = AnswerPeer(*entries_[At(owner)].core, ask->kind, ask->key);
       }
-      Deliver(n,
-              [this, id = ask->id, reply](Entry& e, Effects& out) {
-                OnOwnerReply(e, id, reply, MomentNow(), out);
-              },
-              Latency());
+      Deliver(
+          n,
+          [this, id = ask->id, reply](Entry& e, Effects& out) {
+            OnOwnerReply(e, id, reply, MomentNow(), out);
+          },
+          Latency());
     } else if (const auto* answer = std::get_if<CallAnswered>(&effect)) {
       Answered(*answer);
     }
@@ -296,11 +297,12 @@
   if (entries_[At(n)].life != life) return;
   StoreRows rows;
   if (store_down_ || entries_[At(n)].no_store) {
-    Deliver(n,
-            [this, id = request.id, rows](Entry& entry, Effects& out) {
-              OnStoreReply(entry, id, rows, MomentNow(), out);
-            },
-            kTimeoutUs);
+    Deliver(
+        n,
+        [this, id = request.id, rows](Entry& entry, Effects& out) {
+          OnStoreReply(entry, id, rows, MomentNow(), out);
+        },
+        kTimeoutUs);
     return;
   }
   rows = ChangesAfter(request);
@@ -310,11 +312,12 @@
     });
     return;
   }
-  Deliver(n,
-          [this, id = request.id, rows](Entry& entry, Effects& out) {
-            OnStoreReply(entry, id, rows, MomentNow(), out);
-          },
-          Latency());
+  Deliver(
+      n,
+      [this, id = request.id, rows](Entry& entry, Effects& out) {
+        OnStoreReply(entry, id, rows, MomentNow(), out);
+      },
+      Latency());
 }
 
 StoreRows World::Apply(const CommitRows& commit) {
@@ -543,7 +546,8 @@
 
 void World::Try(const std::string& id) {
   if (accepted_.count(id) > 0) return;
-  const int n = static_cast<int>(Random() * static_cast<double>(entries_.size()));
+  const int n =
+      static_cast<int>(Random() * static_cast<double>(entries_.size()));
   const std::int64_t number = next_call_++;
   EntryHost& host = entries_[At(n)];
   if (host.core != nullptr) {
@@ -564,7 +568,8 @@
 }
 
 void World::Cancel(const std::string& id) {
-  const int n = static_cast<int>(Random() * static_cast<double>(entries_.size()));
+  const int n =
+      static_cast<int>(Random() * static_cast<double>(entries_.size()));
   EntryHost& host = entries_[At(n)];
   if (host.core == nullptr) return;
   const std::int64_t number = next_call_++;
@@ -592,9 +597,8 @@
   for (int n = 0; n < static_cast<int>(entries_.size()); ++n) {
     const EntryHost& host = entries_[At(n)];
     if (host.core == nullptr || !host.core->owner.has_value()) continue;
-    const bool newer =
-        found < 0 || host.core->owner->epoch >
-                         entries_[At(found)].core->owner->epoch;
+    const bool newer = found < 0 || host.core->owner->epoch >
+                                        entries_[At(found)].core->owner->epoch;
     if (newer) found = n;
   }
   return found;
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -37,12 +37,12 @@
   void Submit(const std::string& id, JobSpec spec);
   void Cancel(const std::string& id);
 
-  void KillEntry(int n);     ///< A new life starts 0.5 s later.
-  void StopEntry(int n);     ///< A planned stop; a new life 1 s later.
+  void KillEntry(int n);  ///< A new life starts 0.5 s later.
+  void StopEntry(int n);  ///< A planned stop; a new life 1 s later.
   void FreezeEntry(int n, Duration duration);
   void CutFromStore(int n, bool cut) { entries_[At(n)].no_store = cut; }
   void CutFromTargets(int n, const std::set<int>& targets);
-  void CrashTarget(int n);   ///< Silent for good; unlisted after 4.5 s.
+  void CrashTarget(int n);  ///< Silent for good; unlisted after 4.5 s.
   void SetStoreDown(bool down) { store_down_ = down; }
   void AddWave(Wave wave);
 
@@ -97,7 +97,8 @@
   double Random();
   std::int64_t Latency();
   void StartEntry(int n);
-  void Do(int n, std::int64_t life, std::function<void(Entry&, Effects&)> event);
+  void Do(int n, std::int64_t life,
+          std::function<void(Entry&, Effects&)> event);
   void Execute(int n, const Effects& effects);
   void Deliver(int n, std::function<void(Entry&, Effects&)> event,
                std::int64_t delay_us);
@@ -137,8 +138,8 @@
   std::int64_t next_call_ = 1;
   std::map<TaskName, std::int64_t> starts_;
   std::map<TaskName, std::int64_t> failures_;
-  std::set<TaskName> done_;           ///< Some run has ended `done`.
-  std::set<TaskName> acknowledged_;   ///< And a hold has acknowledged it.
+  std::set<TaskName> done_;          ///< Some run has ended `done`.
+  std::set<TaskName> acknowledged_;  ///< And a hold has acknowledged it.
   std::int64_t next_number_ = 1;
   std::int64_t wave_out_ = 0;
   std::set<std::string> serviced_;
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -96,8 +96,8 @@
   // The owner keeps targets 0 to 2, the others keep the rest.
   world.CutFromStore(owner, true);
   for (int n = 0; n < 4; ++n) {
-    world.CutFromTargets(n, n == owner ? std::set<int>{3, 4, 5, 6, 7}
-                                       : std::set<int>{0, 1, 2});
+    world.CutFromTargets(
+        n, n == owner ? std::set<int>{3, 4, 5, 6, 7} : std::set<int>{0, 1, 2});
   }
   world.Run(seconds(6));
   world.CutFromStore(owner, false);
@@ -151,7 +151,8 @@
   ExpectNoBreach(world);
 }
 
-TEST_CASE("while the store is away leases are extended and work goes on after") {
+TEST_CASE(
+    "while the store is away leases are extended and work goes on after") {
   World world(6, 3, 6);
   world.task_time = seconds(6);
   world.Run(seconds(1));
--- /dev/null
+++ b/Tests/Platform/settings_test.cc
@@ -0,0 +1,91 @@
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace hyssopbarrow::platform {
+namespace {
+
+constexpr char kGood[] = R"(
+Node = "front-a-1"
+Ip = "10.1.0.23"
+InternalPorts = [7000, 7015]
+Advice = "10.200.1.9:8344"
+NewField = [1, 2]
+[Listen]
+Front = "10.1.0.23:8340"
+Readiness = "10.1.0.23:8343"
+[Bounds]
+GraceS = 6
+HoldMaxMs = 9000
+MoveS = 1.5
+UpkeepS = 2
+LeaseMs = 3000
+status_s = 120
+[platform]
+Address = "10.200.1.7:8344"
+[Cloud]
+Address = "10.200.0.82:8344"
+)";
+
+/// kGood with `from` replaced by `to`.
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST_CASE("the settings file is decoded") {
+  const auto settings = ParseSettings(kGood);
+  REQUIRE(settings.ok());
+  CHECK(settings->host.node == "front-a-1");
+  CHECK(settings->host.peers == Address{"10.1.0.23", 7000});
+  CHECK(settings->host.callers == Address{"10.1.0.23", 8340});
+  CHECK(settings->host.stop_within == std::chrono::seconds(5));
+  CHECK(settings->host.terms.longest_lease == std::chrono::seconds(9));
+  CHECK(settings->host.terms.move == std::chrono::milliseconds(1500));
+  CHECK(settings->has_approvals);
+  CHECK(settings->store == Address{"10.200.1.7", 8344});
+}
+
+TEST_CASE("a bad settings file is refused with the name of its field") {
+  struct Case {
+    std::string text;
+    std::string mentions;
+  };
+  const std::vector<Case> cases = {
+      {"", "Node"},
+      {"Node = ", "line 1"},
+      {"Node", "line 1"},
+      {With("\"front-a-1\"", "7"), "Node"},
+      {With("[7000, 7015]", "[]"), "InternalPorts"},
+      {With("[7000, 7015]", "[70000]"), "InternalPorts"},
+      {With("[7000, 7015]", "\"7000\""), "InternalPorts"},
+      {With("\"10.1.0.23:8340\"", "\"10.1.0.23\""), "Listen.Front"},
+      {With("\"10.1.0.23:8343\"", "8343"), "Listen.Readiness"},
+      {With("\"10.200.1.7:8344\"", "\"\""), "platform.Address"},
+      {With("\"10.200.0.82:8344\"", "\"x:1\""), "Cloud.Address"},
+      {With("\"10.200.1.9:8344\"", "\"nowhere\""), "Advice"},
+      {With("HoldMaxMs = 9000", "HoldMaxMs = \"long\""), "Bounds.HoldMaxMs"},
+      {With("MoveS = 1.5", "MoveS = [1]"), "Bounds.MoveS"},
+  };
+  for (const Case& it : cases) {
+    CAPTURE(it.mentions);
+    const auto settings = ParseSettings(it.text);
+    REQUIRE_FALSE(settings.ok());
+    const std::string message(settings.status().message());
+    CAPTURE(message);
+    CHECK(message.find(it.mentions) != std::string::npos);
+  }
+}
+
+TEST_CASE("without a file the error names the path") {
+  const auto settings = ReadSettings("/nonexistent/boot.toml");
+  REQUIRE_FALSE(settings.ok());
+  CHECK(std::string(settings.status().message()).find("boot.toml") !=
+        std::string::npos);
+}
+
+}  // namespace
+}  // namespace hyssopbarrow::platform
--- a/Utilities/install_packages.sh
+++ b/Utilities/install_packages.sh
@@ -4,7 +4,8 @@
 packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3
   libssl-dev libh2o-evloop-dev libwebsocketpp-dev libboost-dev nlohmann-json3-dev
-  libyaml-cpp-dev liblog4cxx-dev libabsl-dev libgflags-dev catch2 libbenchmark-dev
+  libyaml-cpp-dev liblog4cxx-dev libabsl-dev libgflags-dev libtomlplusplus-dev catch2
+  libbenchmark-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ $# -eq 0 ]; then
-  mapfile -t files < <(git ls-files 'Source/*.cc' 'Tests/*.cc' 'Utilities/*.cc')
+  mapfile -t files < <(git ls-files 'Source/*.cc' 'platform/*.cc' 'Tests/*.cc' 'Utilities/*.cc')
 else
   files=("$@")
 fi
