--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -25,6 +25,7 @@
 struct Follower {
   Table table = Table::kConfiguration;
   Duration wait{};
+  Duration gap{};  ///< Between two watches, so that changes come together.
   std::int64_t revision = 0;
   bool whole = false;    ///< The table was read whole.
   std::string next_key;  ///< Where the next part of a read begins.
@@ -99,7 +100,10 @@
                           .wait = std::chrono::milliseconds(500)};
   Follower jobs{.table = Table::kJobs, .wait = std::chrono::seconds(1)};
   Follower progress{.table = Table::kProgress, .wait = std::chrono::seconds(1)};
-  Follower targets{.table = Table::kTargets, .wait = std::chrono::seconds(1)};
+  /// Each target writes every 1.5 s; a change may be known this much later.
+  Follower targets{.table = Table::kTargets,
+                   .wait = std::chrono::seconds(1),
+                   .gap = std::chrono::milliseconds(250)};
   Ownership ownership;
   std::optional<Owner> owner;
   std::map<std::int64_t, OpenCall> calls;
--- a/Source/Policy/follower.cc
+++ b/Source/Policy/follower.cc
@@ -58,6 +58,7 @@
   result.usable = true;
   if (follower.whole) {
     follower.revision = std::max(follower.revision, reply.revision);
+    follower.retry_at = context.at.now + follower.gap;
     result.complete = true;
     return result;
   }
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -78,7 +78,9 @@
   }
   entry.owner = std::move(owner);
   const auto restart = [](Follower& follower) {
-    follower = Follower{.table = follower.table, .wait = follower.wait};
+    follower = Follower{.table = follower.table,
+                        .wait = follower.wait,
+                        .gap = follower.gap};
   };
   restart(entry.jobs);
   restart(entry.progress);
