Owner: Keep the commit row out of the table that all hosts follow

Cause: each host follows the owner's table for the lease, and the row that orders the owner's commits lay there too, so every commit woke every host: 30 watches a second each, found by counting replies by kind. Ruled out: the targets' table (commit before) and questions about states.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view kCancelSuffix = ".x";
+/// Changes with each commit. It is kept with the progress rows, since every
+/// entry host follows the owner's table.
 constexpr std::string_view kCommitKey = "commit";
 constexpr std::string_view kEpochKey = "epoch";
 
@@ -252,9 +254,9 @@
   commit.id = open.id;
   commit.conditions = {
       {{Table::kOwner, std::string(kEpochKey)}, owner.epoch_revision},
-      {{Table::kOwner, std::string(kCommitKey)}, owner.commit_revision}};
+      {{Table::kProgress, std::string(kCommitKey)}, owner.commit_revision}};
   commit.writes.push_back(
-      {{Table::kOwner, std::string(kCommitKey)},
+      {{Table::kProgress, std::string(kCommitKey)},
        {{"epoch", owner.epoch}, {"sequence", open.sequence}}});
   owner.commit = std::move(open);
   context.out.emplace_back(std::move(commit));
@@ -348,6 +350,7 @@
 void TakeProgressRows(Owner& owner, const StoreRows& rows) {
   for (const Row& row : rows.rows) {
     std::string_view key = row.key;
+    if (key == kCommitKey) continue;
     if (ConsumePrefix(key, "wave/")) {
       const auto number = ParseInteger<std::int64_t>(key);
       if (!number.has_value() || !row.value.contains("done")) continue;
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -78,9 +78,8 @@
   }
   entry.owner = std::move(owner);
   const auto restart = [](Follower& follower) {
-    follower = Follower{.table = follower.table,
-                        .wait = follower.wait,
-                        .gap = follower.gap};
+    follower = Follower{
+        .table = follower.table, .wait = follower.wait, .gap = follower.gap};
   };
   restart(entry.jobs);
   restart(entry.progress);
@@ -124,7 +123,8 @@
   commit.writes = {
       {OwnerRow(kEpochKey), {{"epoch", epoch}, {"holder", entry.self.holder}}},
       {OwnerRow(kLeaseKey), LeaseRow(entry, epoch, false)},
-      {OwnerRow(kCommitKey), {{"epoch", epoch}, {"sequence", 0}}}};
+      {{Table::kProgress, std::string(kCommitKey)},
+       {{"epoch", epoch}, {"sequence", 0}}}};
   Note(
       context, Severity::kInfo, "ownership_claimed",
       {{"epoch", std::to_string(epoch)},
