--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -74,8 +74,9 @@
     const auto state = json.find("state");
     if (state == json.end()) return reply;
     reply.answered = true;
-    if (state->is_string())
+    if (state->is_string()) {
       reply.state = ParseJobState(state->get<std::string>());
+    }
   } else {
     const auto waiting = json.find("waiting");
     if (waiting == json.end() || !waiting->is_number_integer()) return reply;
@@ -164,7 +165,7 @@
   if (next_tick_ <= at.now) {
     Effects effects;
     OnTick(entry_, at, effects);
-    Execute(std::move(effects));
+    Execute(effects);
   }
   at = Now();
   next_tick_ = NextTick(entry_, at.now);
@@ -183,7 +184,7 @@
   quiet_since_ = at.now + kStopNotBefore;
   Effects effects;
   OnStop(entry_, at, effects);
-  Execute(std::move(effects));
+  Execute(effects);
 }
 
 bool EntryHost::IsStopped() const {
@@ -216,7 +217,7 @@
   });
   Effects effects;
   OnCall(entry_, std::move(call), at, effects);
-  Execute(std::move(effects));
+  Execute(effects);
 }
 
 void EntryHost::ServePeer(const HttpRequest& request,
@@ -241,7 +242,7 @@
   responder.Send(ErrorResponse(404, "no such resource"));
 }
 
-void EntryHost::Execute(Effects effects) {
+void EntryHost::Execute(const Effects& effects) {
   for (const Effect& it : effects) Execute(it);
   next_tick_ = std::min(next_tick_, NextTick(entry_, Now().now));
 }
@@ -254,7 +255,7 @@
       RecordReply(metrics_, system, ToText(rows.status), at.now - sent);
       Effects effects;
       OnStoreReply(entry_, id, rows, at, effects);
-      Execute(std::move(effects));
+      Execute(effects);
     };
   };
   if (const auto* read = std::get_if<ReadRows>(&effect)) {
@@ -272,7 +273,7 @@
                       at.now - sent);
           Effects effects;
           OnOrderReply(entry_, id, reply, at, effects);
-          Execute(std::move(effects));
+          Execute(effects);
         });
   } else if (const auto* approval = std::get_if<ApprovalRequest>(&effect)) {
     backend_.Approve(
@@ -282,7 +283,7 @@
                       at.now - sent);
           Effects effects;
           OnApproval(entry_, id, reply, at, effects);
-          Execute(std::move(effects));
+          Execute(effects);
         });
   } else if (const auto* list = std::get_if<ListHosts>(&effect)) {
     backend_.List(*list, [this, sent, id = list->id](const HostList& hosts) {
@@ -291,7 +292,7 @@
                   at.now - sent);
       Effects effects;
       OnHosts(entry_, id, hosts, at, effects);
-      Execute(std::move(effects));
+      Execute(effects);
     });
   } else if (const auto* host = std::get_if<HostOrder>(&effect)) {
     backend_.Order(*host, [this, sent, id = host->id](HostResult result) {
@@ -300,7 +301,7 @@
                   at.now - sent);
       Effects effects;
       OnHostReply(entry_, id, result, at, effects);
-      Execute(std::move(effects));
+      Execute(effects);
     });
   } else if (const auto* ask = std::get_if<AskOwner>(&effect)) {
     Ask(*ask);
@@ -320,7 +321,7 @@
                 at.now - sent);
     Effects effects;
     OnOwnerReply(entry_, id, parsed, at, effects);
-    Execute(std::move(effects));
+    Execute(effects);
   };
   absl::StatusOr<Address> address = ParseAddress(ask.address);
   if (!address.ok()) {
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -66,7 +66,7 @@
            std::vector<std::pair<std::string, std::string>> fields);
   void ServeCaller(const HttpRequest& request, const Responder& responder);
   void ServePeer(const HttpRequest& request, const Responder& responder);
-  void Execute(Effects effects);
+  void Execute(const Effects& effects);
   void Execute(const Effect& effect);
   void Ask(const AskOwner& ask);
   void Answer(const CallAnswered& answer);
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -148,8 +148,9 @@
 
 Instant NextTick(const Entry& entry, Instant now) {
   Instant next = now + kTickGap;
-  if (entry.owner.has_value())
+  if (entry.owner.has_value()) {
     next = std::min(next, NextDue(*entry.owner, now));
+  }
   for (const auto& [number, call] : entry.calls) {
     if (call.again_at.has_value()) next = std::min(next, *call.again_at);
     next = std::min(next, call.deadline);
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -48,7 +48,7 @@
     Admit(it);
   }
 
-  void Reply(std::int64_t id, OpenCall& call, const StoreRows& reply) {
+  void Reply(OpenCall& call, const StoreRows& reply) {
     call.open = 0;
     switch (call.stage) {
       case CallStage::kInsert:
@@ -72,7 +72,6 @@
       case CallStage::kAskOwner:
         return;
     }
-    (void)id;
   }
 
   void OwnerAnswered(OpenCall& call, const OwnerReply& reply) {
@@ -139,8 +138,9 @@
                                            .count())}});
     }
     if (call.open != 0) entry_.call_by_request.erase(call.open);
+    const std::int64_t number = answer.call;
     context_.out.emplace_back(std::move(answer));
-    entry_.calls.erase(answer.call);
+    entry_.calls.erase(number);
   }
 
   void Again(OpenCall& call, Duration after) {
@@ -470,7 +470,7 @@
   entry.call_by_request.erase(it);
   auto call = entry.calls.find(number);
   if (call != entry.calls.end()) {
-    CallDesk(entry, context).Reply(id, call->second, reply);
+    CallDesk(entry, context).Reply(call->second, reply);
   }
   return true;
 }
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -193,7 +193,8 @@
   for (auto& [number, view] : owner.steward.waves) {
     if (view.stored) continue;
     const std::string key = StrCat("wave/", number);
-    commit.writes.push_back({{Table::kProgress, key}, {{"done", view.done}}});
+    commit.writes.push_back({{Table::kProgress, key},
+                             {{"done", view.done}, {"seen_ms", view.seen_ms}}});
     open.waves[number] = view.completed;
     view.stored = true;
   }
@@ -358,6 +359,10 @@
       for (const nlohmann::json& it : row.value["done"]) {
         if (it.is_string()) view.done.insert(it.get<std::string>());
       }
+      const auto seen = row.value.find("seen_ms");
+      const bool readable =
+          seen != row.value.end() && seen->is_number_integer();
+      if (readable) view.seen_ms = seen->get<std::int64_t>();
       continue;
     }
     owner.early_progress[row.key] = row.value;
@@ -418,7 +423,7 @@
     WaveView& view = owner.steward.waves[it.number];
     if (view.wave == it) continue;
     view.wave = it;
-    view.seen_at = context.at.now;
+    if (view.seen_ms == 0) view.seen_ms = context.at.unix_ms;
     view.stored = false;
     Note(context, Severity::kInfo, "wave_taken",
          {{"wave", std::to_string(it.number)},
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -139,7 +139,7 @@
 
 struct WaveView {
   Wave wave;
-  Instant seen_at{};
+  std::int64_t seen_ms = 0;  ///< Unix milliseconds when an owner first saw it.
   std::set<std::string> done;
   bool completed = false;
   bool stored = false;  ///< The progress row says what is known here.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -280,8 +280,8 @@
   StartRefused(owner, target, name, ToString(reply.result), context);
 }
 
-void TakeStop(Owner& owner, TargetView& target, const OpenOrder& open,
-              const OrderReply& reply, Context& context) {
+void TakeStop(TargetView& target, const OpenOrder& open,
+              const OrderReply& reply, const Context& context) {
   auto it = target.runs.find(open.order.task);
   if (it == target.runs.end() || it->second.number != open.order.run) return;
   it->second.order_open = false;
@@ -293,7 +293,6 @@
   } else {
     it->second.retry_at = context.at.now + kRetryUnanswered;
   }
-  (void)owner;
 }
 
 /// Another life of the target answers: nothing that was started runs on.
@@ -384,8 +383,9 @@
             {"result", std::string(ToString(reply.result))}});
     }
     target.avoid_until = std::max(target.avoid_until, now + kAvoidUnheard);
-    if (open.order.kind == OrderKind::kHold)
+    if (open.order.kind == OrderKind::kHold) {
       target.next_hold = now + kHoldRetry;
+    }
   } else {
     const bool hold = open.order.kind == OrderKind::kHold;
     if (target.missed > 0 && hold) target.missed = 0;
@@ -419,7 +419,7 @@
       TakeStart(owner, target, open, reply, context);
       break;
     case OrderKind::kStop:
-      TakeStop(owner, target, open, reply, context);
+      TakeStop(target, open, reply, context);
       break;
     case OrderKind::kPace:
       break;
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -179,8 +179,9 @@
 void AdvanceOwnership(Entry& entry, Context& context) {
   Ownership& it = entry.ownership;
   if (entry.owner.has_value()) {
-    if (entry.owner->fenced)
+    if (entry.owner->fenced) {
       it.next_renewal = std::min(it.next_renewal, context.at.now);
+    }
     const bool due = it.open_renewal == 0 && it.next_renewal <= context.at.now;
     if (due && !entry.stopping) SendRenewal(entry, false, context);
   }
@@ -204,12 +205,14 @@
       it.holder = row.value.value("holder", std::string());
       const bool replaced = entry.owner.has_value() &&
                             entry.owner->epoch_revision != row.revision;
-      if (replaced)
+      if (replaced) {
         LoseOwnership(entry, "another host owns the fleet", context);
+      }
       const bool won = !entry.owner.has_value() && !entry.stopping &&
                        it.holder == entry.self.holder;
-      if (won)
+      if (won) {
         BecomeOwner(entry, it.epoch, row.revision, it.claim_sent, context);
+      }
       renewed = true;
     }
     if (row.key == kLeaseKey && row.revision > it.lease_revision) {
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -207,7 +207,8 @@
         target->throttled = true;
         continue;
       }
-      const std::int64_t failed = task.failed_on.count(target->entry.id);
+      const auto failed =
+          static_cast<std::int64_t>(task.failed_on.count(target->entry.id));
       const std::int64_t far =
           !step.data_rack.empty() && !HasLabel(target->entry, step.data_rack)
               ? 1
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -203,14 +203,15 @@
            {{"wave", std::to_string(number)}});
       return;
     }
-    const Instant deadline = wave.seen_at + milliseconds(wave.wave.duration_ms);
+    const std::int64_t left_ms =
+        wave.seen_ms + wave.wave.duration_ms - context_.at.unix_ms;
+    const auto time_left =
+        static_cast<double>(std::max<std::int64_t>(0, left_ms)) * 1000;
     const std::int64_t limit = std::max<std::int64_t>(1, wave.wave.limit);
     const auto remaining = static_cast<std::int64_t>(left.size()) + reserved;
     const std::int64_t rounds = (remaining + limit - 1) / limit;
     const Duration least = (context_.terms.upkeep + kEmptying) * rounds;
-    const bool hurry =
-        static_cast<double>(least.count()) >
-        kHurry * static_cast<double>(Remaining(deadline, now()).count());
+    const bool hurry = static_cast<double>(least.count()) > kHurry * time_left;
     std::sort(left.begin(), left.end(), [&](HostView* a, HostView* b) {
       return std::make_tuple(UsedPart(*a), a->host.name) <
              std::make_tuple(UsedPart(*b), b->host.name);
--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -616,6 +616,14 @@
   return it == starts_.end() ? 0 : it->second;
 }
 
+std::int64_t World::FailuresOf(const std::string& id) const {
+  std::int64_t most = 0;
+  for (const auto& [name, n] : failures_) {
+    if (name.job == id) most = std::max(most, n);
+  }
+  return most;
+}
+
 HostList World::Hosts() const {
   HostList list{.answered = true};
   for (const TargetHere& it : targets_) {
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -53,6 +53,8 @@
   /// What the callers are shown; pending if nobody knows.
   JobState StateOf(const std::string& id) const;
   std::int64_t StartsOf(const TaskName& name) const;
+  /// Most runs of one of the job's tasks that ended `failed`.
+  std::int64_t FailuresOf(const std::string& id) const;
   std::size_t accepted() const { return accepted_.size(); }
   bool WaveShownCompleted(std::int64_t number) const;
 
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -147,6 +147,7 @@
   CAPTURE(seed);
   CHECK(world.accepted() == 20);
   CHECK(world.StateOf(JobId(3)) == JobState::kFailed);
+  CHECK(world.FailuresOf(JobId(3)) == 2);
   CHECK(world.StateOf(JobId(4)) == JobState::kCompleted);
   ExpectNoBreach(world);
 }
@@ -256,9 +257,50 @@
     const JobState expected =
         n == 5 || n == 17 ? JobState::kFailed : JobState::kCompleted;
     CHECK(world.StateOf(JobId(n)) == expected);
+    if (expected == JobState::kFailed) CHECK(world.FailuresOf(JobId(n)) == 2);
   }
   ExpectNoBreach(world);
 }
 
+TEST_CASE("a failed end that is listed to two owners counts once") {
+  World world(9, 3, 4);
+  world.hopeless.insert(JobId(1));
+  world.task_time = milliseconds(300);
+  world.Run(seconds(1));
+  world.Submit(JobId(1), SimpleJob(1, false));
+  // The owner has stored the failure; its successor hears of it again.
+  world.After(milliseconds(310),
+              [&world] { world.KillEntry(std::max(0, world.OwnerIndex())); });
+  world.Run(seconds(8));
+  CHECK(world.StateOf(JobId(1)) == JobState::kFailed);
+  CHECK(world.FailuresOf(JobId(1)) == 2);
+  ExpectNoBreach(world);
+}
+
+TEST_CASE("a wave's time runs from when the first steward saw it") {
+  Owner owner;
+  Terms terms;
+  std::int64_t next_id = 1;
+  Effects out;
+  Context context{.at = {.now = Instant(seconds(90)), .unix_ms = 90'000},
+                  .terms = terms,
+                  .next_id = next_id,
+                  .out = out};
+  StoreRows rows;
+  rows.rows.push_back(
+      {.key = "wave/1", .value = {{"done", {"m-3"}}, {"seen_ms", 70'000}}});
+  const Wave wave{.number = 1, .hosts = {"m-1", "m-3"}, .duration_ms = 25'000};
+  SECTION("the row comes first") {
+    TakeProgressRows(owner, rows);
+    TakeWaves(owner, {wave}, context);
+  }
+  SECTION("the wave comes first") {
+    TakeWaves(owner, {wave}, context);
+    TakeProgressRows(owner, rows);
+  }
+  CHECK(owner.steward.waves[1].seen_ms == 70'000);
+  CHECK(owner.steward.waves[1].done == std::set<std::string>{"m-3"});
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
