Owner: Give up commits without answer sooner

Cause: while answers of the store are lost, each lost commit held up all starts for a second, and one lost answer to a start made a target count as unheard. Commits are now given up after five times what the last one took (150 ms to 1 s), renewals after 450 ms; silence is judged by holds alone.

--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -57,6 +57,8 @@
   std::int64_t id = 0;
   std::vector<std::pair<RowRef, std::int64_t>> conditions;
   std::vector<std::pair<RowRef, nlohmann::json>> writes;
+  /// Answers take 4 ms, and up to 60 times that while the store is slow.
+  Duration timeout = std::chrono::milliseconds(600);
 };
 
 /// Answer to a read, a watch or a commit.
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -24,6 +24,11 @@
 /// Lets ends that arrive together share a commit.
 constexpr Duration kCommitGap = milliseconds(8);
 constexpr Duration kCommitRetry = milliseconds(100);
+/// A commit without answer holds up all starts, so it is given up after some
+/// times what commits take, and sent again with what has changed since.
+constexpr Duration kShortestCommitTimeout = milliseconds(150);
+constexpr Duration kLongestCommitTimeout = milliseconds(1000);
+constexpr int kCommitTimeoutFactor = 5;
 constexpr Duration kSweepGap = milliseconds(250);
 /// Longest time for which jobs are kept beyond what callers are promised.
 constexpr Duration kRowSlack = milliseconds(30'000);
@@ -251,8 +256,13 @@
     return;
   }
   open.id = context.next_id++;
+  open.sent_at = context.at.now;
   open.sequence = ++owner.commit_sequence;
   commit.id = open.id;
+  owner.commit_timeout =
+      std::clamp(owner.commit_timeout, kShortestCommitTimeout,
+                 kLongestCommitTimeout);
+  commit.timeout = owner.commit_timeout;
   commit.conditions = {
       {{Table::kOwner, std::string(kEpochKey)}, owner.epoch_revision},
       {{Table::kProgress, std::string(kCommitKey)}, owner.commit_revision}};
@@ -442,11 +452,16 @@
   if (reply.status == StoreStatus::kOk) {
     owner.commit_revision = reply.revision;
     owner.next_commit = context.at.now + kCommitGap;
+    owner.commit_timeout =
+        kCommitTimeoutFactor * (context.at.now - open.sent_at);
     Committed(owner, open, context);
     return true;
   }
   Uncommitted(owner, open);
-  owner.next_commit = context.at.now + kCommitRetry;
+  const bool unanswered = reply.status == StoreStatus::kUnknown;
+  if (unanswered) owner.commit_timeout *= 2;
+  owner.next_commit =
+      context.at.now + (unanswered ? kCommitGap : kCommitRetry);
   if (reply.status != StoreStatus::kConflict) return true;
   for (const Row& row : reply.rows) {
     if (row.key == kCommitKey) owner.commit_revision = row.revision;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -60,7 +60,7 @@
   Resources team_need;  ///< Counts towards the team's ceiling.
   std::string team;
   std::string pool;
-  Instant ordered_at{};
+  Instant ordered_at{};  ///< When its start was last ordered.
   /// The target has answered the order to start, or lists the run.
   std::optional<Instant> confirmed_at;
   /// An order to start got no answer and may be carried out later.
@@ -163,6 +163,7 @@
 /// Writes of the owner that are under way.
 struct OpenCommit {
   std::int64_t id = 0;
+  Instant sent_at{};
   std::int64_t sequence = 0;
   std::map<std::string, bool> jobs;    ///< Whether the state written is final.
   std::vector<std::string> removed;    ///< Jobs whose rows are dropped.
@@ -200,6 +201,7 @@
   std::int64_t commit_revision = 0;
   std::int64_t commit_sequence = 0;
   Instant next_commit{};
+  Duration commit_timeout{};  ///< Follows how long commits take.
   Instant next_sweep{};
   bool plan_due = true;
   std::int64_t starts = 0;
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -11,7 +11,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr Duration kAvoidUnheard = milliseconds(500);
+constexpr Duration kAvoidUnheard = milliseconds(250);
 constexpr Duration kAvoidUnhealthy = milliseconds(1000);
 constexpr Duration kAvoidFull = milliseconds(150);
 constexpr Duration kRetryUnanswered = milliseconds(150);
@@ -375,20 +375,19 @@
   if (open.born != target.entry.born || target.over) return true;
   const bool heard = reply.result != OrderResult::kNoReply &&
                      reply.result != OrderResult::kNotSent;
+  const bool hold = open.order.kind == OrderKind::kHold;
   if (!heard) {
-    if (target.missed++ == 0) {
+    // One lost answer is no silence; that shows in the holds.
+    if (hold && target.missed++ == 0) {
       Note(context, Severity::kWarn, "target_unheard",
            {{"target", target.entry.id},
             {"order", std::to_string(static_cast<int>(open.order.kind))},
             {"result", std::string(ToString(reply.result))}});
     }
     target.avoid_until = std::max(target.avoid_until, now + kAvoidUnheard);
-    if (open.order.kind == OrderKind::kHold) {
-      target.next_hold = now + kHoldRetry;
-    }
+    if (hold) target.next_hold = now + kHoldRetry;
   } else {
-    const bool hold = open.order.kind == OrderKind::kHold;
-    if (target.missed > 0 && hold) target.missed = 0;
+    if (hold) target.missed = 0;
     if (reply.clock_ms > 0) {
       target.clock_ms = reply.clock_ms;
       target.clock_at = now;
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -261,6 +261,7 @@
   Run& run = target.runs.at(name);
   const Job& job = owner.jobs.at(name.job);
   run.order_open = true;
+  run.ordered_at = context.at.now;
   TargetOrder order{.kind = OrderKind::kStart};
   order.task = name;
   order.run = run.number;
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -10,7 +10,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kRenewGap = milliseconds(350);
-constexpr Duration kRenewRetry = milliseconds(150);
+constexpr Duration kRenewRetry = milliseconds(50);
+/// Leaves time for a second renewal before the lease ends.
+constexpr Duration kRenewTimeout = milliseconds(450);
 /// An owner that has not renewed for so long is replaced. Three renewals, also
 /// while the store takes 0.25 s for an answer.
 constexpr Duration kTakeoverAfter = milliseconds(1200);
@@ -105,6 +107,7 @@
   it.renewal_sent = context.at.now;
   it.releasing = release;
   CommitRows commit{.id = it.open_renewal};
+  commit.timeout = kRenewTimeout;
   commit.conditions = {{OwnerRow(kEpochKey), entry.owner->epoch_revision}};
   commit.writes = {
       {OwnerRow(kLeaseKey), LeaseRow(entry, entry.owner->epoch, release)}};
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -56,6 +56,11 @@
   /// Most runs of one of the job's tasks that ended `failed`.
   std::int64_t FailuresOf(const std::string& id) const;
   std::size_t accepted() const { return accepted_.size(); }
+  /// Starts after as many failed ends as a queue allows, all of which were
+  /// acknowledged then or later.
+  std::vector<std::string> StartsBeyondAttempts() const;
+  /// Tasks of jobs shown as completed of which no run has ended `done`.
+  std::vector<std::string> WronglyCompleted() const;
   bool WaveShownCompleted(std::int64_t number) const;
 
   Trouble trouble;
@@ -88,6 +93,9 @@
     std::map<TaskName, RunHere> runs;
     std::map<TaskName, std::int64_t> ended_runs;
     std::vector<ListedEnd> ends;
+    /// Ends up to here were listed before a lease ran out: acknowledging them
+    /// later does not count.
+    std::int64_t void_up_to = 0;
     std::int64_t next_end = 1;
     /// Holds that wait for an end.
     std::vector<std::function<void()>> waiting;
@@ -140,6 +148,10 @@
   std::int64_t next_call_ = 1;
   std::map<TaskName, std::int64_t> starts_;
   std::map<TaskName, std::int64_t> failures_;
+  std::map<TaskName, std::set<std::int64_t>> failed_runs_;
+  std::map<TaskName, std::set<std::int64_t>> noted_failures_;
+  /// Starts after a task's last attempt, with the runs that had failed.
+  std::vector<std::pair<TaskName, std::set<std::int64_t>>> late_starts_;
   std::set<TaskName> done_;          ///< Some run has ended `done`.
   std::set<TaskName> acknowledged_;  ///< And a hold has acknowledged it.
   std::int64_t next_number_ = 1;
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -19,6 +19,12 @@
 void ExpectNoBreach(const World& world) {
   CAPTURE(world.breaches);
   CHECK(world.breaches.empty());
+  const std::vector<std::string> overspent = world.StartsBeyondAttempts();
+  CAPTURE(overspent);
+  CHECK(overspent.empty());
+  const std::vector<std::string> wrong = world.WronglyCompleted();
+  CAPTURE(wrong);
+  CHECK(wrong.empty());
 }
 
 /// Hands in `count` jobs, 100 ms apart.
