--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -174,6 +174,7 @@
                          {"pool", record.pool},
                          {"team", record.team},
                          {"accepted_ms", record.accepted_ms},
+                         {"max_attempts", record.max_attempts},
                          {"payload", record.spec.payload}};
   for (const Step& it : record.spec.steps) json["steps"].push_back(ToJson(it));
   if (record.spec.repeats > 0) {
@@ -193,6 +194,7 @@
     Take(json, "pool", record.pool);
     Take(json, "team", record.team);
     Take(json, "accepted_ms", record.accepted_ms);
+    Take(json, "max_attempts", record.max_attempts);
     Take(json, "payload", record.spec.payload);
     for (const nlohmann::json& it : json.at("steps")) {
       record.spec.steps.push_back(TakeStep(it));
--- a/Source/Model/job.h
+++ b/Source/Model/job.h
@@ -55,9 +55,10 @@
 struct JobRecord {
   std::string id;
   std::string queue;
-  std::string pool;              ///< Of the queue when the job was accepted.
-  std::string team;              ///< Empty on open queues.
-  std::int64_t accepted_ms = 0;  ///< Unix milliseconds.
+  std::string pool;               ///< Of the queue when the job was accepted.
+  std::string team;               ///< Empty on open queues.
+  std::int64_t accepted_ms = 0;   ///< Unix milliseconds.
+  std::int64_t max_attempts = 1;  ///< Of the queue, in case that it goes.
   JobSpec spec;
 
   friend bool operator==(const JobRecord&, const JobRecord&) = default;
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -211,6 +211,7 @@
                    .pool = queue.pool,
                    .team = team == nullptr ? "" : team->name,
                    .accepted_ms = context_.at.unix_ms,
+                   .max_attempts = queue.max_attempts,
                    .spec = *std::move(call.call.spec)};
     Insert(call);
   }
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -6,6 +6,7 @@
 #include "Model/text.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
+#include "Policy/sharing.h"
 #include "Policy/steward.h"
 
 namespace hyssopbarrow::fleet {
@@ -259,9 +260,8 @@
   open.sent_at = context.at.now;
   open.sequence = ++owner.commit_sequence;
   commit.id = open.id;
-  owner.commit_timeout =
-      std::clamp(owner.commit_timeout, kShortestCommitTimeout,
-                 kLongestCommitTimeout);
+  owner.commit_timeout = std::clamp(
+      owner.commit_timeout, kShortestCommitTimeout, kLongestCommitTimeout);
   commit.timeout = owner.commit_timeout;
   commit.conditions = {
       {{Table::kOwner, std::string(kEpochKey)}, owner.epoch_revision},
@@ -300,8 +300,8 @@
 
 void BecomeReady(Owner& owner, Context& context) {
   if (owner.ready) return;
-  const bool loaded =
-      owner.jobs_loaded && owner.progress_loaded && owner.targets_loaded;
+  const bool loaded = owner.jobs_loaded && owner.progress_loaded &&
+                      owner.targets_loaded && context.configuration != nullptr;
   if (!loaded) return;
   owner.ready = true;
   Note(context, Severity::kInfo, "owner_ready",
@@ -460,8 +460,7 @@
   Uncommitted(owner, open);
   const bool unanswered = reply.status == StoreStatus::kUnknown;
   if (unanswered) owner.commit_timeout *= 2;
-  owner.next_commit =
-      context.at.now + (unanswered ? kCommitGap : kCommitRetry);
+  owner.next_commit = context.at.now + (unanswered ? kCommitGap : kCommitRetry);
   if (reply.status != StoreStatus::kConflict) return true;
   for (const Row& row : reply.rows) {
     if (row.key == kCommitKey) owner.commit_revision = row.revision;
@@ -492,6 +491,7 @@
   BecomeReady(owner, context);
   if (owner.ready && MayOrder(owner, now)) {
     AdvanceSteward(owner, context);
+    AdvanceSharing(owner, context);
     if (owner.plan_due) {
       owner.plan_due = false;
       PlaceTasks(owner, context);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -102,6 +102,7 @@
   std::int64_t missed = 0;  ///< Orders without answer since the last answer.
   Instant avoid_until{};    ///< No starts until then.
   std::int64_t open_orders = 0;
+  Instant next_pace{};
   bool throttled = false;  ///< A start waits for open orders to be answered.
   bool reserved = false;   ///< Being emptied for a move or an upkeep.
   std::map<TaskName, ForeignRun> foreign;  ///< Runs of jobs not known here.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -76,10 +76,11 @@
       context.configuration == nullptr
           ? nullptr
           : FindQueue(*context.configuration, job.record.queue);
-  // Without its queue the number of attempts is not known: none is denied.
-  if (step.lasts || queue == nullptr) return;
+  if (step.lasts) return;
+  const std::int64_t attempts =
+      queue == nullptr ? job.record.max_attempts : queue->max_attempts;
   const auto failures = static_cast<std::int64_t>(task->failures.size());
-  if (failures >= queue->max_attempts) {
+  if (failures >= attempts) {
     FinishJob(
         owner, job, JobState::kFailed,
         StrCat("task ", ToString(end.task), " failed ", failures, " times"),
@@ -295,6 +296,15 @@
   }
 }
 
+/// A change of pace that did not take effect is ordered again.
+void TakePace(TargetView& target, const OpenOrder& open,
+              const OrderReply& reply) {
+  auto it = target.runs.find(open.order.task);
+  if (it == target.runs.end() || it->second.number != open.order.run) return;
+  constexpr std::int64_t kUnknownPace = -1;
+  if (reply.result != OrderResult::kDone) it->second.pace = kUnknownPace;
+}
+
 /// Another life of the target answers: nothing that was started runs on.
 void TakeNewLife(Owner& owner, TargetView& target, std::int64_t born,
                  Context& context) {
@@ -421,6 +431,7 @@
       TakeStop(target, open, reply, context);
       break;
     case OrderKind::kPace:
+      TakePace(target, open, reply);
       break;
   }
   return true;
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -18,6 +18,8 @@
 /// A waiting hold costs one look; shorter than half a lease, so that one lost
 /// hold does not end it.
 constexpr Duration kHoldWait = milliseconds(1400);
+/// While tasks that fill are paced by the figures that holds bring.
+constexpr Duration kPacedHoldWait = milliseconds(400);
 constexpr Duration kOrderTimeout = milliseconds(700);  ///< 3 ms on a calm day.
 constexpr Duration kHoldRetry = milliseconds(250);
 /// Extensions by an earlier owner end so long after its successor began: the
@@ -37,7 +39,9 @@
   const bool wait = target.synced && !lost && !unstored && HasRuns(target);
   TargetOrder order{.kind = OrderKind::kHold};
   order.ends_seen = target.ends_stored;
-  order.wait = wait ? kHoldWait : Duration::zero();
+  order.wait =
+      wait ? (target.next_pace > context.at.now ? kPacedHoldWait : kHoldWait)
+           : Duration::zero();
   // After a lost answer the lease is left to run out until the target is
   // heard again, or its work could never be given up.
   const bool extend = target.clock_ms.has_value() && !lost;
--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -682,9 +682,9 @@
   for (const auto& [name, runs] : late_starts_) {
     auto noted = noted_failures_.find(name);
     if (noted == noted_failures_.end()) continue;
-    const auto n = std::count_if(runs.begin(), runs.end(), [&](std::int64_t it) {
-      return noted->second.count(it) > 0;
-    });
+    const auto n = std::count_if(
+        runs.begin(), runs.end(),
+        [&](std::int64_t it) { return noted->second.count(it) > 0; });
     if (n >= kMaxAttempts) beyond.push_back(ToString(name));
   }
   return beyond;
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -4,6 +4,8 @@
 #include <string>
 
 #include "Model/text.h"
+#include "Policy/owner_runs.h"
+#include "Policy/sharing.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -283,6 +285,46 @@
   ExpectNoBreach(world);
 }
 
+/// An owner with one target that runs a serving and a filling task.
+Owner SharedTarget(std::int64_t tail_ms) {
+  Owner owner;
+  JobSpec spec = SimpleJob(1, true);
+  spec.steps[0].tail_target_ms = 100;
+  spec.steps[0].lasts = true;
+  spec.steps[1].fills = true;
+  Job& job = owner.jobs[JobId(1)];
+  job.record = {.id = JobId(1), .pool = "desk", .spec = spec};
+  TargetView& target = owner.targets["i-1"];
+  target.entry.id = "i-1";
+  target.runs[{JobId(1), 0, 0, 0}] = {
+      .number = 1, .phase = RunPhase::kRunning, .load = tail_ms};
+  target.runs[{JobId(1), 0, 1, 0}] = {.number = 1, .phase = RunPhase::kRunning};
+  return owner;
+}
+
+TEST_CASE("tasks that fill slow down for those that serve") {
+  const auto [tail_ms, percent] = GENERATE(table<std::int64_t, std::int64_t>(
+      {{120, 0}, {90, 50}, {70, 100}, {20, 100}}));
+  Owner owner = SharedTarget(tail_ms);
+  Terms terms;
+  std::int64_t next_id = 1;
+  Effects out;
+  Context context{.at = {.now = Instant(seconds(90))},
+                  .terms = terms,
+                  .next_id = next_id,
+                  .out = out};
+  AdvanceSharing(owner, context);
+  CAPTURE(tail_ms);
+  CHECK(owner.targets["i-1"].runs[{JobId(1), 0, 1, 0}].pace == percent);
+  CHECK(owner.orders.size() == (percent == 100 ? 0 : 1));
+  // And again as soon as there is room.
+  owner.targets["i-1"].runs[{JobId(1), 0, 0, 0}].load = 10;
+  context.at.now += seconds(1);
+  AdvanceSharing(owner, context);
+  CHECK(owner.targets["i-1"].runs[{JobId(1), 0, 1, 0}].pace ==
+        std::min<std::int64_t>(100, percent + 15));
+}
+
 TEST_CASE("a wave's time runs from when the first steward saw it") {
   Owner owner;
   Terms terms;
