--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -4,13 +4,13 @@
 
 #include "Model/text.h"
 #include "Policy/entry_parts.h"
+#include "Policy/store_keys.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kCancelSuffix = ".x";
 constexpr std::size_t kJobIdLength = 16;
 /// The answer leaves so long before the caller gives up.
 constexpr Duration kAnswerMargin = milliseconds(150);
@@ -21,7 +21,7 @@
 RowRef JobRow(const std::string& id) { return {Table::kJobs, id}; }
 
 bool IsVoid(const nlohmann::json& value) {
-  return value.is_object() && value.contains("void");
+  return value.is_object() && value.contains(kVoidField);
 }
 
 bool IsJobId(std::string_view text) {
@@ -289,7 +289,7 @@
     CommitRows commit{.id = NewRequest(call, CallStage::kVoid)};
     commit.conditions = {
         {JobRow(call.job), row == nullptr ? 0 : row->revision}};
-    commit.writes = {{JobRow(call.job), {{"void", context_.at.unix_ms}}}};
+    commit.writes = {{JobRow(call.job), {{kVoidField, context_.at.unix_ms}}}};
     context_.out.emplace_back(std::move(commit));
   }
 
--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -62,6 +62,21 @@
   return job.record.spec.steps[At(step)];
 }
 
+void ForEachTask(Job& job,
+                 const std::function<void(const TaskName&, Task&)>& action) {
+  for (auto& [number, occurrence] : job.open) {
+    TaskName name{job.record.id, number, 0, 0};
+    for (StepProgress& step : occurrence.steps) {
+      name.index = 0;
+      for (Task& task : step.tasks) {
+        action(name, task);
+        ++name.index;
+      }
+      ++name.step;
+    }
+  }
+}
+
 bool IsReady(const Job& job, const Occurrence& occurrence, std::int64_t step) {
   const std::vector<std::int64_t>& needs = StepOf(job, step).depends_on;
   return std::all_of(needs.begin(), needs.end(), [&](std::int64_t it) {
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -2,6 +2,7 @@
 #define HYSSOPBARROW_POLICY_JOB_TABLE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -68,6 +69,10 @@
 Task* FindTask(Job& job, const TaskName& name);
 const Step& StepOf(const Job& job, std::int64_t step);
 
+/// Calls `action(name, task)` for each task of the open occurrences.
+void ForEachTask(Job& job,
+                 const std::function<void(const TaskName&, Task&)>& action);
+
 /// True once all steps that `step` depends on are complete.
 bool IsReady(const Job& job, const Occurrence& occurrence, std::int64_t step);
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -8,18 +8,13 @@
 #include "Policy/placement.h"
 #include "Policy/sharing.h"
 #include "Policy/steward.h"
+#include "Policy/store_keys.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kCancelSuffix = ".x";
-/// Changes with each commit. It is kept with the progress rows, since every
-/// entry host follows the owner's table.
-constexpr std::string_view kCommitKey = "commit";
-constexpr std::string_view kEpochKey = "epoch";
-
 /// Rows of one commit; the store takes 100 entries.
 constexpr std::size_t kCommitRows = 80;
 /// Lets ends that arrive together share a commit.
@@ -70,38 +65,24 @@
 /// Takes the runs that a progress row names off the tasks.
 std::vector<std::pair<TaskName, Sent>> TakeSent(Job& job) {
   std::vector<std::pair<TaskName, Sent>> all;
-  for (auto& [number, occurrence] : job.open) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      std::vector<Task>& tasks = occurrence.steps[s].tasks;
-      for (std::size_t n = 0; n < tasks.size(); ++n) {
-        const TaskName name{job.record.id, number, static_cast<std::int64_t>(s),
-                            static_cast<std::int64_t>(n)};
-        for (const Sent& it : tasks[n].sent) all.emplace_back(name, it);
-        tasks[n].sent.clear();
-      }
-    }
-  }
+  ForEachTask(job, [&all](const TaskName& name, Task& task) {
+    for (const Sent& it : task.sent) all.emplace_back(name, it);
+    task.sent.clear();
+  });
   return all;
 }
 
 /// Runs of a job that wait for its row to be stored.
-void CollectStarts(const Owner& owner, const Job& job, OpenCommit& open) {
-  for (const auto& [number, occurrence] : job.open) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      const std::vector<Task>& tasks = occurrence.steps[s].tasks;
-      for (std::size_t n = 0; n < tasks.size(); ++n) {
-        const TaskName name{job.record.id, number, static_cast<std::int64_t>(s),
-                            static_cast<std::int64_t>(n)};
-        for (const Sent& it : tasks[n].sent) {
-          const auto& runs = owner.targets.at(it.target).runs;
-          const auto run = runs.find(name);
-          const bool waits =
-              run != runs.end() && run->second.phase == RunPhase::kPlanned;
-          if (waits) open.starts.emplace_back(name, it);
-        }
-      }
+void CollectStarts(const Owner& owner, Job& job, OpenCommit& open) {
+  ForEachTask(job, [&](const TaskName& name, const Task& task) {
+    for (const Sent& it : task.sent) {
+      const auto& runs = owner.targets.at(it.target).runs;
+      const auto run = runs.find(name);
+      const bool waits =
+          run != runs.end() && run->second.phase == RunPhase::kPlanned;
+      if (waits) open.starts.emplace_back(name, it);
     }
-  }
+  });
 }
 
 /// Orders the starts whose rows are stored now.
@@ -198,7 +179,7 @@
 void CommitWaves(Owner& owner, OpenCommit& open, CommitRows& commit) {
   for (auto& [number, view] : owner.steward.waves) {
     if (view.stored) continue;
-    const std::string key = StrCat("wave/", number);
+    const std::string key = StrCat(kWavePrefix, number);
     commit.writes.push_back({{Table::kProgress, key},
                              {{"done", view.done}, {"seen_ms", view.seen_ms}}});
     open.waves[number] = view.completed;
@@ -344,7 +325,8 @@
       continue;
     }
     const bool known = owner.jobs.count(row.key) > 0;
-    const bool is_void = row.value.is_object() && row.value.contains("void");
+    const bool is_void =
+        row.value.is_object() && row.value.contains(kVoidField);
     if (known || is_void) continue;
     absl::StatusOr<JobRecord> record = ParseJobRecord(row.key, row.value);
     if (!record.ok()) {
@@ -362,7 +344,7 @@
   for (const Row& row : rows.rows) {
     std::string_view key = row.key;
     if (key == kCommitKey) continue;
-    if (ConsumePrefix(key, "wave/")) {
+    if (ConsumePrefix(key, kWavePrefix)) {
       const auto number = ParseInteger<std::int64_t>(key);
       if (!number.has_value() || !row.value.contains("done")) continue;
       WaveView& view = owner.steward.waves[*number];
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -22,9 +22,6 @@
 /// Different jobs that fail on a target before it is avoided.
 constexpr std::size_t kBadTargetJobs = 3;
 constexpr Duration kAvoidBad = milliseconds(6000);
-constexpr Duration kHoldRetry = milliseconds(250);
-/// Between looks at a target whose ends wait for the store.
-constexpr Duration kUnstoredHoldGap = milliseconds(500);
 /// Room for the numbers of runs that an earlier life may have used.
 constexpr std::int64_t kRunSkip = 10;
 
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -21,13 +21,10 @@
 /// While tasks that fill are paced by the figures that holds bring.
 constexpr Duration kPacedHoldWait = milliseconds(400);
 constexpr Duration kOrderTimeout = milliseconds(700);  ///< 3 ms on a calm day.
-constexpr Duration kHoldRetry = milliseconds(250);
 /// Extensions by an earlier owner end so long after its successor began: the
 /// time for which it goes on without the store, see ownership.cc.
 constexpr Duration kPredecessorGoesOn = milliseconds(6000);
 constexpr Duration kOrderRetry = milliseconds(200);
-/// Between holds while ends cannot be stored.
-constexpr Duration kUnstoredHoldGap = milliseconds(500);
 
 std::int64_t Milliseconds(Duration d) {
   return duration_cast<milliseconds>(d).count();
@@ -187,18 +184,11 @@
 
 void StopJob(Owner& owner, Job& job, std::string_view reason,
              Context& context) {
-  for (auto& [number, occurrence] : job.open) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      const std::vector<Task>& tasks = occurrence.steps[s].tasks;
-      for (std::size_t n = 0; n < tasks.size(); ++n) {
-        const TaskName name{job.record.id, number, static_cast<std::int64_t>(s),
-                            static_cast<std::int64_t>(n)};
-        for (const Sent& it : std::vector<Sent>(tasks[n].sent)) {
-          StopRun(owner, owner.targets.at(it.target), name, reason, context);
-        }
-      }
+  ForEachTask(job, [&](const TaskName& name, Task& task) {
+    for (const Sent& it : std::vector<Sent>(task.sent)) {
+      StopRun(owner, owner.targets.at(it.target), name, reason, context);
     }
-  }
+  });
 }
 
 void MarkChanged(Owner& owner, Job& job) {
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -11,6 +11,12 @@
 /// that was killed (about 2.5 s) and a hold that waits.
 constexpr Duration kLease = std::chrono::milliseconds(4500);
 
+/// Until a target is asked again after a hold that failed.
+constexpr Duration kHoldRetry = std::chrono::milliseconds(250);
+
+/// Between holds while ends wait for the store.
+constexpr Duration kUnstoredHoldGap = std::chrono::milliseconds(500);
+
 /// The lease under these terms.
 Duration LeaseOf(const Terms& terms);
 
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Policy/entry_parts.h"
+#include "Policy/store_keys.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -25,10 +26,6 @@
 constexpr std::int64_t kClaimSpreadMs = 120;
 constexpr Duration kClaimRetry = milliseconds(300);
 
-constexpr std::string_view kEpochKey = "epoch";
-constexpr std::string_view kLeaseKey = "lease";
-constexpr std::string_view kCommitKey = "commit";
-
 RowRef OwnerRow(std::string_view key) {
   return {Table::kOwner, std::string(key)};
 }
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -9,6 +9,7 @@
 #include "Model/text.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
+#include "Policy/store_keys.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -131,8 +132,8 @@
       if (it == owner_.jobs.end()) continue;
       Job& job = it->second;
       const Step& step = StepOf(job, name.step);
-      if (!step.lasts || !touched.insert({name.job, name.step}).second)
-        continue;
+      const bool fresh = touched.insert({name.job, name.step}).second;
+      if (!step.lasts || !fresh) continue;
       const std::vector<Task>& tasks =
           job.open.at(name.occurrence)
               .steps[static_cast<std::size_t>(name.step)]
@@ -224,8 +225,8 @@
       const double pool_size = HostsIn(host->host.pool);
       const double most = std::max(1.0, kPoolPart * pool_size);
       const bool idle = used <= 0;
-      if (!hurry && !idle && reserved_by_pool[host->host.pool] >= most)
-        continue;
+      const bool crowded = reserved_by_pool[host->host.pool] >= most;
+      if (!hurry && !idle && crowded) continue;
       host->wave = number;
       Reserve(*host, Duty::kUpkeep);
       ++reserved;
@@ -453,8 +454,8 @@
     wave.open_write = context_.next_id++;
     wave.shown_completed = completed;
     CommitRows commit{.id = wave.open_write};
-    commit.writes.push_back(
-        {{Table::kWaves, StrCat("wave/", number)}, {{"completed", completed}}});
+    commit.writes.push_back({{Table::kWaves, StrCat(kWavePrefix, number)},
+                             {{"completed", completed}}});
     context_.out.emplace_back(std::move(commit));
   }
 
