--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -443,6 +443,7 @@
     ended = std::max(ended, order.run);
     auto run = here.runs.find(order.task);
     if (run != here.runs.end() && run->second.run <= order.run) {
+      CheckStop(order.task);
       End(target, order.task, run->second.number, EndKind::kStopped);
     }
     return reply;
@@ -493,6 +494,26 @@
   }
 }
 
+void World::CheckStop(const TaskName& name) {
+  auto spec = specs_.find(name.job);
+  if (spec == specs_.end() || cancelled_.count(name.job) > 0) return;
+  const Step& step = spec->second.steps[At(static_cast<int>(name.step))];
+  if (!step.lasts || step.may_miss == 0) return;
+  std::int64_t away = 0;
+  for (std::int64_t n = 0; n < step.count; ++n) {
+    const TaskName other{name.job, name.occurrence, name.step, n};
+    const bool works = std::any_of(
+        targets_.begin(), targets_.end(), [&](const TargetHere& it) {
+          return !it.dead && it.runs.count(other) > 0;
+        });
+    away += n != name.index && !works ? 1 : 0;
+  }
+  if (away >= step.may_miss) {
+    Breach(StrCat(ToString(name), " is stopped while ", away,
+                  " others of its step are away"));
+  }
+}
+
 void World::Start(int target, const TargetOrder& order) {
   CheckStart(target, order);
   TargetHere& here = targets_[At(target)];
@@ -567,7 +588,6 @@
               .spec = specs_.at(id),
               .time_left = Duration(kCallTimeUs)};
     call_jobs_[number] = id;
-    call_kinds_[number] = CallKind::kSubmit;
     Do(n, host.life, [this, call](Entry& entry, Effects& out) {
       OnCall(entry, call, MomentNow(), out);
     });
@@ -580,9 +600,9 @@
       static_cast<int>(Random() * static_cast<double>(entries_.size()));
   EntryHost& host = entries_[At(n)];
   if (host.core == nullptr) return;
+  cancelled_.insert(id);
   const std::int64_t number = next_call_++;
   call_jobs_[number] = id;
-  call_kinds_[number] = CallKind::kCancel;
   const Call call{.number = number,
                   .kind = CallKind::kCancel,
                   .host_name = kHostName,
@@ -597,7 +617,6 @@
   auto it = call_jobs_.find(answer.call);
   if (it == call_jobs_.end()) return;
   if (answer.outcome == CallOutcome::kAccepted) accepted_.insert(it->second);
-  if (answer.outcome == CallOutcome::kCancelled) cancelled_.insert(it->second);
 }
 
 int World::OwnerIndex() const {
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -123,6 +123,7 @@
   void End(int target, const TaskName& name, std::int64_t number, EndKind kind);
   void CheckLease(int target);
   void CheckStart(int target, const TargetOrder& order);
+  void CheckStop(const TaskName& name);
   void Answered(const CallAnswered& answer);
   void Try(const std::string& id);
   HostList Hosts() const;
@@ -142,9 +143,8 @@
   std::map<std::int64_t, Wave> waves_;
   std::map<std::string, JobSpec> specs_;
   std::set<std::string> accepted_;
-  std::set<std::string> cancelled_;
+  std::set<std::string> cancelled_;  ///< Also if the caller has no answer yet.
   std::map<std::int64_t, std::string> call_jobs_;
-  std::map<std::int64_t, CallKind> call_kinds_;
   std::int64_t next_call_ = 1;
   std::map<TaskName, std::int64_t> starts_;
   std::map<TaskName, std::int64_t> failures_;
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -6,6 +6,7 @@
 #include "Model/text.h"
 #include "Policy/owner_runs.h"
 #include "Policy/sharing.h"
+#include "Policy/steward.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -212,6 +213,27 @@
   ExpectNoBreach(world);
 }
 
+TEST_CASE("lasting tasks leave a host only while few of their step are away") {
+  const auto seed = GENERATE(range<std::uint64_t>(21, 29));
+  World world(seed, 3, 10);
+  JobSpec spec = SimpleJob(8, false);
+  spec.steps[0].lasts = true;
+  spec.steps[0].may_miss = 1;
+  world.Run(seconds(1));
+  world.Submit(JobId(1), spec);
+  world.Run(seconds(2));
+  Wave wave{.number = 1, .duration_ms = 12'000, .limit = 4};
+  for (int n = 0; n < 5; ++n) wave.hosts.push_back(StrCat("m-", n));
+  world.AddWave(wave);
+  // A target falls silent while its neighbours are being emptied. Its task is
+  // away from then on, not only once that is known for certain.
+  world.CrashTarget(6);
+  world.Run(seconds(25));
+  CAPTURE(seed);
+  CHECK(world.WaveShownCompleted(1));
+  ExpectNoBreach(world);
+}
+
 /// One fault at a random moment.
 void Strike(World& world, std::mt19937_64& rng) {
   const int n = static_cast<int>(rng() % 4);
@@ -286,6 +308,43 @@
   ExpectNoBreach(world);
 }
 
+TEST_CASE("a lasting task on a target that is not heard counts as away") {
+  const auto missed = GENERATE(0, 1);
+  Owner owner;
+  owner.may_order_until = Instant(seconds(99));
+  JobSpec spec = SimpleJob(2, false);
+  spec.steps[0].lasts = true;
+  spec.steps[0].may_miss = 1;
+  Job& job = owner.jobs[JobId(1)];
+  job.record = {.id = JobId(1), .pool = "desk", .spec = spec};
+  job.open[0] = NewOccurrence(spec, {});
+  for (std::int64_t n = 0; n < 2; ++n) {
+    const std::string id = StrCat("i-", n);
+    TargetView& target = owner.targets[id];
+    target.entry = {.id = id, .pool = "desk", .host = StrCat("m-", n)};
+    target.synced = true;
+    target.clock_ms = 1;
+    Run& run = AddRun(owner, target, job, {JobId(1), 0, 0, n}, 1, {});
+    run.phase = RunPhase::kRunning;
+    run.percent = 100;
+    Host& host = owner.steward.hosts[target.entry.host].host;
+    host = {.name = target.entry.host, .pool = "desk", .state = HostState::kUp};
+  }
+  owner.targets["i-1"].missed = missed;
+  owner.steward.waves[1].wave = {.number = 1, .hosts = {"m-0"}};
+  Terms terms;
+  std::int64_t next_id = 1;
+  Effects out;
+  Context context{.at = {.now = Instant(seconds(90)), .unix_ms = 90'000},
+                  .terms = terms,
+                  .next_id = next_id,
+                  .out = out};
+  AdvanceSteward(owner, context);
+  const Run& run = owner.targets["i-0"].runs[{JobId(1), 0, 0, 0}];
+  CHECK(owner.targets["i-0"].reserved);
+  CHECK((run.phase == RunPhase::kStopping) == (missed == 0));
+}
+
 /// An owner with one target that runs a serving and a filling task.
 Owner SharedTarget(std::int64_t tail_ms) {
   Owner owner;
