Policy: Remove state that nothing reads

Cause: fields of runs, jobs, entry hosts and terms were written and never read, among them a second mark beside the set of changed jobs. Ruled out: readers in metrics; those count calls by outcome on their own. Before and after: the same 3098 assertions of the virtual fleet and 378 of the adapter pass. Conclusion: no behaviour hung on them.

--- a/Source/Model/fleet.cc
+++ b/Source/Model/fleet.cc
@@ -78,18 +78,4 @@
          target.labels.end();
 }
 
-std::string_view ToString(HostState state) {
-  switch (state) {
-    case HostState::kUp:
-      return "up";
-    case HostState::kMoving:
-      return "moving";
-    case HostState::kUpkeep:
-      return "upkeep";
-    case HostState::kDown:
-      return "down";
-  }
-  return "down";
-}
-
 }  // namespace hyssopbarrow::fleet
--- a/Source/Model/fleet.h
+++ b/Source/Model/fleet.h
@@ -113,8 +113,6 @@
 
 enum class HostState { kUp, kMoving, kUpkeep, kDown };
 
-std::string_view ToString(HostState state);
-
 /// A host as its provider lists it.
 struct Host {
   std::string name;
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -21,7 +21,6 @@
                      fresh.version > entry.configuration->version;
   if (!newer) return;
   entry.configuration = fresh;
-  entry.configured_at = context.at.now;
   context.configuration = &*entry.configuration;
   if (entry.owner.has_value()) entry.owner->plan_due = true;
   Note(context, Severity::kInfo, "configuration_adopted",
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -31,7 +31,6 @@
   std::string next_key;  ///< Where the next part of a read begins.
   std::int64_t read_revision = 0;
   std::int64_t open = 0;
-  Instant sent_at{};
   Instant retry_at{};
   bool lost = false;  ///< The last request failed.
 };
@@ -92,7 +91,6 @@
   Terms terms;
   std::int64_t next_id = 1;
   std::optional<Configuration> configuration;
-  Instant configured_at{};
   std::map<std::int64_t, Wave> waves;
   Follower operators{.table = Table::kConfiguration,
                      .wait = std::chrono::seconds(2)};
@@ -109,9 +107,6 @@
   std::map<std::int64_t, OpenCall> calls;
   std::unordered_map<std::int64_t, std::int64_t> call_by_request;
   bool stopping = false;
-  std::int64_t accepted = 0;
-  std::int64_t refused = 0;
-  std::int64_t unknown = 0;
 };
 
 /// Everything that may happen to an entry host. Each appends its effects.
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -115,9 +115,6 @@
     const bool refused = answer.outcome == CallOutcome::kNotAccepted ||
                          answer.outcome == CallOutcome::kUnavailable;
     const bool unknown = answer.outcome == CallOutcome::kUnknown;
-    entry_.accepted += answer.outcome == CallOutcome::kAccepted ? 1 : 0;
-    entry_.refused += refused ? 1 : 0;
-    entry_.unknown += unknown ? 1 : 0;
     const std::int64_t version =
         entry_.configuration ? entry_.configuration->version : 0;
     const bool quiet = call.call.kind == CallKind::kState ||
--- a/Source/Policy/follower.cc
+++ b/Source/Policy/follower.cc
@@ -12,7 +12,6 @@
 void AdvanceFollower(Follower& follower, Context& context) {
   if (follower.open != 0 || follower.retry_at > context.at.now) return;
   follower.open = context.next_id++;
-  follower.sent_at = context.at.now;
   if (follower.whole) {
     context.out.emplace_back(WatchRows{.id = follower.open,
                                        .table = follower.table,
--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -96,7 +96,6 @@
     task->done = true;
     ++step.done;
   }
-  job.changed = true;
   return true;
 }
 
@@ -108,7 +107,6 @@
   }
   job.finished.insert(occurrence);
   job.open.erase(it);
-  job.changed = true;
   const std::int64_t wanted =
       std::max<std::int64_t>(1, job.record.spec.repeats);
   if (static_cast<std::int64_t>(job.finished.size()) >= wanted) {
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -55,9 +55,7 @@
   std::set<std::int64_t> finished;          ///< Occurrences that are complete.
   Instant accepted{};
   bool has_run = false;       ///< A task of it was started.
-  bool changed = false;       ///< The progress row is behind.
   bool final_stored = false;  ///< The final state is in the store.
-  std::int64_t row_revision = 0;
   Instant final_at{};
   std::int64_t next_occurrence = 0;  ///< First timed run not opened yet.
 };
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -115,7 +115,6 @@
   const std::string id = record.id;
   Job job;
   job.record = std::move(record);
-  job.row_revision = row.revision;
   const std::int64_t age =
       live ? 0
            : std::clamp<std::int64_t>(
@@ -212,7 +211,6 @@
     owner.changed_jobs.erase(owner.changed_jobs.begin());
     auto it = owner.jobs.find(id);
     if (it == owner.jobs.end()) continue;
-    it->second.changed = false;
     commit.writes.push_back({{Table::kProgress, id}, ProgressRow(it->second)});
     open.jobs[id] = IsFinal(it->second.state);
     CollectStarts(owner, it->second, open);
@@ -239,7 +237,7 @@
   }
   open.id = context.next_id++;
   open.sent_at = context.at.now;
-  open.sequence = ++owner.commit_sequence;
+  ++owner.commit_sequence;
   commit.id = open.id;
   owner.commit_timeout = std::clamp(
       owner.commit_timeout, kShortestCommitTimeout, kLongestCommitTimeout);
@@ -249,7 +247,7 @@
       {{Table::kProgress, std::string(kCommitKey)}, owner.commit_revision}};
   commit.writes.push_back(
       {{Table::kProgress, std::string(kCommitKey)},
-       {{"epoch", owner.epoch}, {"sequence", open.sequence}}});
+       {{"epoch", owner.epoch}, {"sequence", owner.commit_sequence}}});
   owner.commit = std::move(open);
   context.out.emplace_back(std::move(commit));
 }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -21,10 +21,8 @@
 /// Figures of the deployment, from its settings.
 struct Terms {
   Duration longest_lease = std::chrono::seconds(10);  ///< Targets cut to this.
-  Duration stop = std::chrono::milliseconds(900);
   Duration move = std::chrono::milliseconds(1500);
   Duration upkeep = std::chrono::seconds(2);
-  Duration notice = std::chrono::milliseconds(4500);
   Duration turn_gap = std::chrono::seconds(3);  ///< Between two stewards.
   Duration state_kept = std::chrono::seconds(120);
   bool approvals = false;  ///< A placement policy can be asked.
@@ -59,7 +57,6 @@
   Resources need;       ///< Room that it takes on the target.
   Resources team_need;  ///< Counts towards the team's ceiling.
   std::string team;
-  std::string pool;
   Instant ordered_at{};  ///< When its start was last ordered.
   /// The target has answered the order to start, or lists the run.
   std::optional<Instant> confirmed_at;
@@ -70,7 +67,6 @@
   bool order_open = false;
   Instant retry_at{};
   std::int64_t percent = 0;
-  Instant progress_at{};  ///< When `percent` last rose.
   std::int64_t load = 0;  ///< As in ListedRun.
   std::int64_t pace = 100;
   std::string checkpoint;
@@ -165,7 +161,6 @@
 struct OpenCommit {
   std::int64_t id = 0;
   Instant sent_at{};
-  std::int64_t sequence = 0;
   std::map<std::string, bool> jobs;    ///< Whether the state written is final.
   std::vector<std::string> removed;    ///< Jobs whose rows are dropped.
   std::map<std::int64_t, bool> waves;  ///< Whether written as completed.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -136,7 +136,6 @@
   if (listed.run != run.number) return;
   if (!run.confirmed_at) run.confirmed_at = context.at.now;
   if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kRunning;
-  if (listed.percent != run.percent) run.progress_at = context.at.now;
   run.percent = listed.percent;
   run.load = listed.load;
   if (!listed.checkpoint.empty()) run.checkpoint = listed.checkpoint;
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -92,10 +92,8 @@
   if (step.fills) run.need.cpu_milli = 0;
   run.team_need = step.need;
   run.team = job.record.team;
-  run.pool = target.entry.pool;
   run.phase = RunPhase::kPlanned;
   run.ordered_at = now;
-  run.progress_at = now;
   target.used += run.need;
   owner.team_used[run.team] += run.team_need;
   Task* task = FindTask(job, name);
@@ -191,8 +189,7 @@
   });
 }
 
-void MarkChanged(Owner& owner, Job& job) {
-  job.changed = true;
+void MarkChanged(Owner& owner, const Job& job) {
   owner.changed_jobs.insert(job.record.id);
 }
 
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -39,7 +39,7 @@
 void StopJob(Owner& owner, Job& job, std::string_view reason, Context& context);
 
 /// Notes that a job's progress row is behind.
-void MarkChanged(Owner& owner, Job& job);
+void MarkChanged(Owner& owner, const Job& job);
 
 /// Gives a job its final state.
 void FinishJob(Owner& owner, Job& job, JobState state, std::string_view reason,
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -81,7 +81,6 @@
   struct RunHere {
     std::int64_t run = 0;
     std::int64_t number = 0;  ///< Distinguishes a run from a later one.
-    bool works = true;
   };
 
   struct TargetHere {
