Policy: Give what stood twice one place

Cause: the time for which an owner goes on without the store was a constant in two units that had to agree; the name of a step was put together in four places, the gap before a hold and the emptiness of a target in two, the read of a job's rows in three. An order's record kept a copy of the whole order with the job's payload, on each start, and only five fields were read. Ruled out: changes of behaviour.

Conclusion: one definition each.

--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -154,9 +154,12 @@
   return state != JobState::kPending && state != JobState::kRunning;
 }
 
+std::string StepName(const TaskName& name) {
+  return StrCat(name.job, ".", name.occurrence, ".", name.step);
+}
+
 std::string ToString(const TaskName& name) {
-  return StrCat(name.job, ".", name.occurrence, ".", name.step, ".",
-                name.index);
+  return StrCat(StepName(name), ".", name.index);
 }
 
 std::optional<TaskName> ParseTaskName(std::string_view text) {
--- a/Source/Model/job.h
+++ b/Source/Model/job.h
@@ -82,6 +82,8 @@
 
 /// `JOB.OCCURRENCE.STEP.INDEX`.
 std::string ToString(const TaskName& name);
+/// `JOB.OCCURRENCE.STEP` of a task.
+std::string StepName(const TaskName& name);
 std::optional<TaskName> ParseTaskName(std::string_view text);
 
 nlohmann::json ToJson(const JobRecord& record);
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -151,6 +151,14 @@
     return call.open;
   }
 
+  /// Reads the rows of the call's job: those whose keys begin with its id.
+  void ReadRowsOf(OpenCall& call, CallStage stage, Table table) {
+    context_.out.emplace_back(ReadRows{.id = NewRequest(call, stage),
+                                       .table = table,
+                                       .first = call.job,
+                                       .end = call.job + "~"});
+  }
+
   void Admit(OpenCall& call) {
     if (!entry_.configuration.has_value()) {
       Answer(call, {.outcome = CallOutcome::kNotAccepted,
@@ -259,11 +267,7 @@
 
   /// After an insert without answer: is the job stored?
   void LookUp(OpenCall& call) {
-    const std::int64_t id = NewRequest(call, CallStage::kLookUp);
-    context_.out.emplace_back(ReadRows{.id = id,
-                                       .table = Table::kJobs,
-                                       .first = call.job,
-                                       .end = call.job + "~"});
+    ReadRowsOf(call, CallStage::kLookUp, Table::kJobs);
   }
 
   void LookedUp(OpenCall& call, const StoreRows& reply) {
@@ -343,11 +347,7 @@
   }
 
   void ReadJob(OpenCall& call) {
-    const std::int64_t id = NewRequest(call, CallStage::kReadJob);
-    context_.out.emplace_back(ReadRows{.id = id,
-                                       .table = Table::kJobs,
-                                       .first = call.job,
-                                       .end = call.job + "~"});
+    ReadRowsOf(call, CallStage::kReadJob, Table::kJobs);
   }
 
   void JobRead(OpenCall& call, const StoreRows& reply) {
@@ -367,11 +367,7 @@
         });
     call.row_revision = row->revision;
     if (call.call.kind == CallKind::kState) {
-      const std::int64_t id = NewRequest(call, CallStage::kReadProgress);
-      context_.out.emplace_back(ReadRows{.id = id,
-                                         .table = Table::kProgress,
-                                         .first = call.job,
-                                         .end = call.job + "~"});
+      ReadRowsOf(call, CallStage::kReadProgress, Table::kProgress);
       return;
     }
     if (call.cancelled) {
@@ -454,6 +450,13 @@
   Context& context_;
 };
 
+/// The call that waits for request `id`, which is answered now.
+std::optional<std::int64_t> TakeRequest(Entry& entry, std::int64_t id) {
+  const auto node = entry.call_by_request.extract(id);
+  if (node.empty()) return std::nullopt;
+  return node.mapped();
+}
+
 }  // namespace
 
 void AdvanceCalls(Entry& entry, Context& context) {
@@ -462,11 +465,9 @@
 
 bool TakeCallReply(Entry& entry, std::int64_t id, const StoreRows& reply,
                    Context& context) {
-  auto it = entry.call_by_request.find(id);
-  if (it == entry.call_by_request.end()) return false;
-  const std::int64_t number = it->second;
-  entry.call_by_request.erase(it);
-  auto call = entry.calls.find(number);
+  const std::optional<std::int64_t> number = TakeRequest(entry, id);
+  if (!number.has_value()) return false;
+  auto call = entry.calls.find(*number);
   if (call != entry.calls.end()) {
     CallDesk(entry, context).Reply(call->second, reply);
   }
@@ -492,11 +493,9 @@
 void OnOwnerReply(Entry& entry, std::int64_t id, const OwnerReply& reply,
                   const Moment& at, Effects& out) {
   Context context = ContextOf(entry, at, out);
-  auto it = entry.call_by_request.find(id);
-  if (it == entry.call_by_request.end()) return;
-  const std::int64_t number = it->second;
-  entry.call_by_request.erase(it);
-  auto call = entry.calls.find(number);
+  const std::optional<std::int64_t> number = TakeRequest(entry, id);
+  if (!number.has_value()) return;
+  auto call = entry.calls.find(*number);
   if (call == entry.calls.end()) return;
   CallDesk(entry, context).OwnerAnswered(call->second, reply);
 }
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -102,7 +102,6 @@
       continue;
     }
     run->second.phase = RunPhase::kOrdered;
-    run->second.ordered_at = context.at.now;
     SendStart(owner, target->second, name, context);
     if (target->second.open_hold == 0) {
       target->second.next_hold = context.at.now;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -105,8 +105,13 @@
   std::set<std::string> failed_jobs;       ///< Jobs with a recent failure here.
 };
 
+/// What has to be known of an order when its answer comes.
 struct OpenOrder {
-  TargetOrder order;
+  OrderKind kind = OrderKind::kHold;
+  std::string target;
+  TaskName task;
+  std::int64_t run = 0;
+  std::int64_t ends_seen = 0;  ///< As in TargetOrder.
   Instant sent_at{};
   std::int64_t lease_before_ms = 0;  ///< Longest lease sent before this order.
   std::int64_t born = 0;             ///< Life of the target it was meant for.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -190,7 +190,7 @@
     target.ends_seen = it.number;
     TakeEnd(owner, target, it, counts, context);
   }
-  target.ends_told = std::max(target.ends_told, open.order.ends_seen);
+  target.ends_told = std::max(target.ends_told, open.ends_seen);
   for (const ListedRun& it : reply.running) {
     TakeListed(owner, target, it, context);
   }
@@ -201,8 +201,7 @@
     target.synced = true;
     owner.plan_due = true;
   }
-  const bool unstored = target.ends_seen > target.ends_stored;
-  target.next_hold = unstored ? now + kUnstoredHoldGap : now;
+  target.next_hold = now + HoldGap(target);
 }
 
 /// The order to start was refused, so that this attempt has not run. Earlier
@@ -225,9 +224,9 @@
 
 void TakeStart(Owner& owner, TargetView& target, const OpenOrder& open,
                const OrderReply& reply, Context& context) {
-  const TaskName& name = open.order.task;
+  const TaskName& name = open.task;
   auto it = target.runs.find(name);
-  if (it == target.runs.end() || it->second.number != open.order.run) return;
+  if (it == target.runs.end() || it->second.number != open.run) return;
   Run& run = it->second;
   const Instant now = context.at.now;
   run.order_open = false;
@@ -243,7 +242,7 @@
       run.retry_at = now + kRetryUnanswered;
       return;
     case OrderResult::kOldRun:
-      if (task != nullptr) task->last_run = open.order.run + kRunSkip;
+      if (task != nullptr) task->last_run = open.run + kRunSkip;
       // A run with an unanswered start may have ended: the list of ends tells.
       if (run.start_unsettled) {
         run.stopped_at = now;
@@ -260,8 +259,7 @@
       target.avoid_until = std::max(target.avoid_until, now + kAvoidFull);
       break;
     case OrderResult::kNoTicket:
-      owner.approvals.erase(
-          StrCat(name.job, ".", name.occurrence, ".", name.step));
+      owner.approvals.erase(StepName(name));
       break;
     case OrderResult::kInvalid:
       if (task != nullptr) task->not_before = now + kRetryInvalid;
@@ -279,8 +277,8 @@
 
 void TakeStop(TargetView& target, const OpenOrder& open,
               const OrderReply& reply, const Context& context) {
-  auto it = target.runs.find(open.order.task);
-  if (it == target.runs.end() || it->second.number != open.order.run) return;
+  auto it = target.runs.find(open.task);
+  if (it == target.runs.end() || it->second.number != open.run) return;
   it->second.order_open = false;
   const bool answered = reply.result != OrderResult::kNoReply &&
                         reply.result != OrderResult::kNotSent &&
@@ -295,8 +293,8 @@
 /// A change of pace that did not take effect is ordered again.
 void TakePace(TargetView& target, const OpenOrder& open,
               const OrderReply& reply) {
-  auto it = target.runs.find(open.order.task);
-  if (it == target.runs.end() || it->second.number != open.order.run) return;
+  auto it = target.runs.find(open.task);
+  if (it == target.runs.end() || it->second.number != open.run) return;
   constexpr std::int64_t kUnknownPace = -1;
   if (reply.result != OrderResult::kDone) it->second.pace = kUnknownPace;
 }
@@ -367,11 +365,12 @@
   if (it == owner.orders.end()) return false;
   const OpenOrder open = std::move(it->second);
   owner.orders.erase(it);
-  auto view = owner.targets.find(open.order.target);
+  auto view = owner.targets.find(open.target);
   if (view == owner.targets.end()) return true;
   TargetView& target = view->second;
   const Instant now = context.at.now;
-  if (open.order.kind == OrderKind::kHold) {
+  const bool hold = open.kind == OrderKind::kHold;
+  if (hold) {
     if (target.open_hold == id) target.open_hold = 0;
   } else {
     --target.open_orders;
@@ -381,13 +380,12 @@
   if (open.born != target.entry.born || target.over) return true;
   const bool heard = reply.result != OrderResult::kNoReply &&
                      reply.result != OrderResult::kNotSent;
-  const bool hold = open.order.kind == OrderKind::kHold;
   if (!heard) {
     // One lost answer is no silence; that shows in the holds.
     if (hold && target.missed++ == 0) {
       Note(context, Severity::kWarn, "target_unheard",
            {{"target", target.entry.id},
-            {"order", std::to_string(static_cast<int>(open.order.kind))},
+            {"order", std::to_string(static_cast<int>(open.kind))},
             {"result", std::string(ToString(reply.result))}});
     }
     target.avoid_until = std::max(target.avoid_until, now + kAvoidUnheard);
@@ -412,7 +410,7 @@
                 context);
     return true;
   }
-  switch (open.order.kind) {
+  switch (open.kind) {
     case OrderKind::kHold:
       if (reply.result == OrderResult::kDone) {
         TakeHold(owner, target, open, reply, context);
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "Model/text.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -21,9 +20,8 @@
 /// While tasks that fill are paced by the figures that holds bring.
 constexpr Duration kPacedHoldWait = milliseconds(400);
 constexpr Duration kOrderTimeout = milliseconds(700);  ///< 3 ms on a calm day.
-/// Extensions by an earlier owner end so long after its successor began: the
-/// time for which it goes on without the store, see ownership.cc.
-constexpr Duration kPredecessorGoesOn = milliseconds(6000);
+/// Between holds while ends wait for the store.
+constexpr Duration kUnstoredHoldGap = milliseconds(500);
 constexpr Duration kOrderRetry = milliseconds(200);
 
 std::int64_t Milliseconds(Duration d) {
@@ -68,6 +66,12 @@
                                 .fields = std::move(fields)});
 }
 
+Duration HoldGap(const TargetView& target) {
+  if (target.missed > 0) return kHoldRetry;
+  const bool unstored = target.ends_seen > target.ends_stored;
+  return unstored ? kUnstoredHoldGap : Duration::zero();
+}
+
 bool HasRuns(const TargetView& target) {
   return std::any_of(
       target.runs.begin(), target.runs.end(),
@@ -118,7 +122,7 @@
   }
   if (target.entry.born != sent.born || target.synced) return;
   target.lease_bound = std::max(target.lease_bound,
-                                owner.since + kPredecessorGoesOn +
+                                owner.since + kGoOnWithoutStore +
                                     LeaseOf(context.terms) + kLeaseWayMargin);
   Run& run = AddRun(owner, target, job, name, sent.run, context.at.now);
   run.phase = RunPhase::kRunning;
@@ -216,7 +220,11 @@
   order.token = owner.epoch;
   order.timeout = kOrderTimeout + order.wait;
   order.fresh_connection = target.missed > 0;
-  OpenOrder open{.order = order,
+  OpenOrder open{.kind = order.kind,
+                 .target = order.target,
+                 .task = order.task,
+                 .run = order.run,
+                 .ends_seen = order.ends_seen,
                  .sent_at = context.at.now,
                  .lease_before_ms = target.lease_until_ms,
                  .born = target.entry.born};
@@ -224,7 +232,6 @@
     // Work on a target that is not heard is given up when its lease ends, so
     // nothing may extend that.
     order.lease_until_ms = target.lease_until_ms;
-    open.order.lease_until_ms = order.lease_until_ms;
   } else if (extend_lease) {
     const Instant now = context.at.now;
     const Duration lease = LeaseOf(context.terms);
@@ -236,7 +243,6 @@
     const auto bound = duration_cast<Duration>(lease * kLeaseClockMargin);
     target.lease_bound =
         std::max(target.lease_bound, now + bound + kLeaseWayMargin);
-    open.order.lease_until_ms = order.lease_until_ms;
   }
   if (order.kind == OrderKind::kHold) {
     target.open_hold = order.id;
@@ -258,8 +264,7 @@
   order.run = run.number;
   order.payload = job.record.spec.payload;
   order.checkpoint = run.checkpoint;
-  auto approval = owner.approvals.find(
-      StrCat(name.job, ".", name.occurrence, ".", name.step));
+  auto approval = owner.approvals.find(StepName(name));
   if (approval != owner.approvals.end()) {
     auto ticket = approval->second.tickets.find(target.entry.id);
     if (ticket != approval->second.tickets.end()) order.ticket = ticket->second;
@@ -299,10 +304,7 @@
   const bool known = !target.entry.address.empty();
   if (!known || target.open_hold != 0 || target.next_hold > now) return;
   if (!HoldIsDue(target)) return;
-  const bool unstored = target.ends_seen > target.ends_stored;
-  target.next_hold =
-      now + (target.missed > 0 ? kHoldRetry
-                               : (unstored ? kUnstoredHoldGap : Duration{}));
+  target.next_hold = now + HoldGap(target);
   SendHold(owner, target, context);
 }
 
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -11,11 +11,16 @@
 /// that was killed (about 2.5 s) and a hold that waits.
 constexpr Duration kLease = std::chrono::milliseconds(4500);
 
+/// An owner that the store does not answer goes on for so long after its last
+/// renewal: the usual outage. Its successor waits as long for what it cannot
+/// see.
+constexpr Duration kGoOnWithoutStore = std::chrono::milliseconds(6000);
+
 /// Until a target is asked again after a hold that failed.
 constexpr Duration kHoldRetry = std::chrono::milliseconds(250);
 
-/// Between holds while ends wait for the store.
-constexpr Duration kUnstoredHoldGap = std::chrono::milliseconds(500);
+/// How long to wait before the next hold of a target.
+Duration HoldGap(const TargetView& target);
 
 /// The lease under these terms.
 Duration LeaseOf(const Terms& terms);
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Policy/entry_parts.h"
+#include "Policy/owner_runs.h"
 #include "Policy/store_keys.h"
 
 namespace hyssopbarrow::fleet {
@@ -19,11 +20,8 @@
 constexpr Duration kTakeoverAfter = milliseconds(1200);
 /// An owner counts its lease shorter than the others do.
 constexpr Duration kLeaseMargin = milliseconds(100);
-/// An owner that the store does not answer goes on for so long: the usual
-/// outage, and no longer than its successor waits for what it cannot see.
-constexpr Duration kGoOnWithoutStore = milliseconds(6000);
 /// Spreads the claims of several hosts.
-constexpr std::int64_t kClaimSpreadMs = 120;
+constexpr std::size_t kClaimSpreadMs = 120;
 constexpr Duration kClaimRetry = milliseconds(300);
 
 RowRef OwnerRow(std::string_view key) {
@@ -40,10 +38,7 @@
 
 Duration ClaimDelay(const Entry& entry) {
   const std::size_t hash = std::hash<std::string>()(entry.self.holder);
-  return milliseconds(static_cast<std::int64_t>(hash) % kClaimSpreadMs +
-                      (static_cast<std::int64_t>(hash) % kClaimSpreadMs < 0
-                           ? kClaimSpreadMs
-                           : 0));
+  return milliseconds(hash % kClaimSpreadMs);
 }
 
 /// True if `holder` is an earlier life of this host, which cannot run on.
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -4,7 +4,6 @@
 #include <tuple>
 #include <utility>
 
-#include "Model/text.h"
 #include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
@@ -189,7 +188,7 @@
       return false;
     }
     if (owner_.approvals.empty()) return true;
-    auto approval = owner_.approvals.find(StepText(name));
+    auto approval = owner_.approvals.find(StepName(name));
     return approval == owner_.approvals.end() ||
            approval->second.tickets.count(target.entry.id) > 0;
   }
@@ -297,22 +296,18 @@
     return places;
   }
 
-  static std::string StepText(const TaskName& name) {
-    return StrCat(name.job, ".", name.occurrence, ".", name.step);
-  }
-
   /// True if the step needs no approval or has one that is valid.
   bool Approved(const PoolView& pool, const Job& job, const TaskName& name) {
     const Queue* queue = QueueOf(job);
     if (queue == nullptr || !queue->approval.has_value()) return true;
     if (!context_.terms.approvals) return true;
-    Approval& approval = owner_.approvals[StepText(name)];
+    Approval& approval = owner_.approvals[StepName(name)];
     if (approval.valid_until > now() && !approval.tickets.empty()) return true;
     if (approval.open_request != 0 || approval.retry_at > now()) return false;
     approval.open_request = context_.next_id++;
     approval.retry_at = now() + kApprovalRetry;
     ApprovalRequest request{.id = approval.open_request,
-                            .step = StepText(name),
+                            .step = StepName(name),
                             .timeout = kApprovalTimeout};
     std::vector<TargetView*> targets = pool.targets;
     std::sort(targets.begin(), targets.end(),
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -326,10 +326,9 @@
                         !WaitsForUpkeep(host);
       if (!free) continue;
       const TargetView* target = TargetOf(host);
-      const bool idle = target == nullptr ? IsSpare(pool)
-                                          : target->runs.empty() &&
-                                                target->open_orders == 0 &&
-                                                !target->entry.draining;
+      const bool idle = target == nullptr
+                            ? IsSpare(pool)
+                            : IsEmpty(target) && !target->entry.draining;
       if (idle) empty.push_back(&host);
     }
     return empty;
