Platform: Report what cannot be read through the decision log

Cause: the adapter logged unreadable entries, host lists and settings by the daemon's log: to standard error, without bound and able to wait for its reader, beside the log that was written for just that. It also pulled the whole package of the call interface into the program. Ruled out: a second sink in the adapter; what could not be read is part of the answer and is decided on, and noted, by the core. Change: answers carry their problems. The adapter's one unit of 680 lines is split by what it translates: fields, store, fleet, jobs, orders. Conclusion: one log for each process, and no log in platform/.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -195,9 +195,14 @@
          now >= quiet_since_ + kStopAfterQuiet;
 }
 
-void EntryHost::Reload(const Terms& terms) {
-  const bool changed = terms != entry_.terms;
-  entry_.terms = terms;
+void EntryHost::Reload(const absl::StatusOr<Terms>& terms) {
+  if (!terms.ok()) {
+    Log(Severity::kError, "settings_rejected",
+        {{"problem", std::string(terms.status().message())}});
+    return;
+  }
+  const bool changed = *terms != entry_.terms;
+  entry_.terms = *terms;
   Log(Severity::kInfo, "settings_reloaded",
       {{"changed", changed ? "yes" : "no"}});
 }
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -14,6 +14,7 @@
 #include "Http/http_server.h"
 #include "Policy/entry.h"
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 
 namespace hyssopbarrow::fleet {
 
@@ -49,8 +50,8 @@
   void RequestStop();
   bool IsStopped() const;
 
-  /// Takes over changed figures.
-  void Reload(const Terms& terms);
+  /// Takes over changed figures; an error leaves those in force.
+  void Reload(const absl::StatusOr<Terms>& terms);
 
   const Entry& entry() const { return entry_; }
 
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -87,6 +87,9 @@
 void OnStoreReply(Entry& entry, std::int64_t id, const StoreRows& reply,
                   const Moment& at, Effects& out) {
   Context context = ContextOf(entry, at, out);
+  for (const std::string& it : reply.problems) {
+    Note(context, Severity::kWarn, "entry_unreadable", {{"problem", it}});
+  }
   if (const Followed it = TakeFollowed(entry.operators, id, reply, context);
       it.ours) {
     if (it.usable) TakeConfiguration(entry, reply, context);
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -72,7 +72,8 @@
   std::int64_t revision = 0;                 ///< Newest revision of the store.
   bool truncated = false;                    ///< More rows follow the last one.
   std::string last_key;
-  bool history_lost = false;  ///< A watch has to start from a new read.
+  bool history_lost = false;          ///< A watch has to start from a new read.
+  std::vector<std::string> problems;  ///< Entries that could not be read.
 };
 
 // ---- Targets ----
@@ -168,6 +169,7 @@
 
 struct HostList {
   bool answered = false;
+  std::string problem;  ///< Why an answer could not be read.
   std::vector<Host> hosts;
 };
 
--- a/Source/Policy/steward.cc
+++ b/Source/Policy/steward.cc
@@ -520,6 +520,10 @@
   Steward& steward = owner.steward;
   if (steward.open_list != id) return false;
   steward.open_list = 0;
+  if (!list.problem.empty()) {
+    Note(context, Severity::kWarn, "host_list_unreadable",
+         {{"problem", list.problem}});
+  }
   if (!list.answered) return true;
   steward.listed_at = context.at.now;
   std::set<std::string> present;
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -1,11 +1,13 @@
-#include "wire.h"
-
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "Model/text.h"
+#include "fleet_wire.h"
+#include "job_wire.h"
+#include "order_wire.h"
+#include "store_wire.h"
 
 namespace hyssopbarrow::platform {
 namespace {
@@ -196,24 +198,19 @@
 }
 
 TEST_CASE("a row that cannot be read is reported and stops nothing") {
-  std::vector<std::string> problems;
-  const auto rows =
-      DecodeRows(Table::kTargets, WithRow("i-1", "bm90IGpzb24="), problems);
+  const auto rows = DecodeRows(Table::kTargets, WithRow("i-1", "bm90IGpzb24="));
   CHECK(rows.status == StoreStatus::kOk);
   CHECK(rows.targets.empty());
   CHECK(rows.removed_targets == std::vector<std::string>{"i-1"});
-  CHECK(problems.size() == 1);
-  problems.clear();
-  const auto jobs =
-      DecodeRows(Table::kJobs, WithRow(kJob, "bm90IGpzb24="), problems);
+  CHECK(rows.problems.size() == 1);
+  const auto jobs = DecodeRows(Table::kJobs, WithRow(kJob, "bm90IGpzb24="));
   CHECK(jobs.rows.empty());
-  CHECK(problems.size() == 1);
+  CHECK(jobs.problems.size() == 1);
 }
 
 TEST_CASE("the store's statuses say what may have been done") {
-  std::vector<std::string> problems;
   const auto status = [&](int code, const std::string& body) {
-    return DecodeRows(Table::kJobs, Answer(code, body), problems);
+    return DecodeRows(Table::kJobs, Answer(code, body));
   };
   CHECK(status(200, R"({"Ver":4})").status == StoreStatus::kOk);
   CHECK(status(412, R"({"rows":[],"Ver":4})").status == StoreStatus::kConflict);
