--- /dev/null
+++ b/Source/Policy/owner_commits.h
@@ -0,0 +1,14 @@
+#ifndef HYSSOPBARROW_POLICY_OWNER_COMMITS_H_
+#define HYSSOPBARROW_POLICY_OWNER_COMMITS_H_
+
+#include "Policy/owner.h"
+
+namespace hyssopbarrow::fleet {
+
+/// Commits what has changed, unless a commit is under way. With `sweep`, rows
+/// of jobs that nobody may ask for any more are removed too.
+void CommitChanges(Owner& owner, Context& context, bool sweep);
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_POLICY_OWNER_COMMITS_H_
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-
 namespace hyssopbarrow::fleet {
 namespace {
 
@@ -79,14 +78,21 @@
 }
 
 bool HoldIsDue(const TargetView& target) {
-  return HasRuns(target) || target.ends_told < target.ends_seen ||
-         !target.synced;
+  const bool possible =
+      !target.over && target.open_hold == 0 && !target.entry.address.empty();
+  return possible && (HasRuns(target) || target.ends_told < target.ends_seen ||
+                      !target.synced);
 }
 
 Duration LeaseOf(const Terms& terms) {
   return std::min(kLease, terms.longest_lease);
 }
 
+Job* FindJob(Owner& owner, const std::string& id) {
+  auto it = owner.jobs.find(id);
+  return it == owner.jobs.end() ? nullptr : &it->second;
+}
+
 Run& AddRun(Owner& owner, TargetView& target, Job& job, const TaskName& name,
             std::int64_t number, Instant now) {
   const Step& step = StepOf(job, name.step);
@@ -301,9 +307,7 @@
   for (const TaskName& it : due) {
     RetryRunOrder(owner, target, it, target.runs.at(it), context);
   }
-  const bool known = !target.entry.address.empty();
-  if (!known || target.open_hold != 0 || target.next_hold > now) return;
-  if (!HoldIsDue(target)) return;
+  if (target.next_hold > now || !HoldIsDue(target)) return;
   target.next_hold = now + HoldGap(target);
   SendHold(owner, target, context);
 }
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -25,6 +25,9 @@
 /// The lease under these terms.
 Duration LeaseOf(const Terms& terms);
 
+/// The job of that id; null if it is not known.
+Job* FindJob(Owner& owner, const std::string& id);
+
 /// Books a run of a task on a target.
 Run& AddRun(Owner& owner, TargetView& target, Job& job, const TaskName& name,
             std::int64_t number, Instant now);
@@ -69,7 +72,8 @@
 /// True if the target may run something of this owner's or an earlier one's.
 bool HasRuns(const TargetView& target);
 
-/// True if the target has to be heard: for its lease, its ends or its runs.
+/// True if the target has to be heard, for its lease, its ends or its runs,
+/// and can be asked.
 bool HoldIsDue(const TargetView& target);
 
 /// Notes that a target's life has ended and what it ran with it.
