Fleet: Feed the core in one way

Cause: seven replies were wrapped in the same five lines, two answers to peers in the same four, and each call was copied whole, job and payload, to keep its kind for the metrics; the codec was handed a call that it ignored. Conclusion: Feed and Record, and no copy.

--- a/Source/Fleet/backend.h
+++ b/Source/Fleet/backend.h
@@ -36,8 +36,7 @@
   virtual ~CallCodec() = default;
 
   virtual Call Decode(const HttpRequest& request) const = 0;
-  virtual HttpResponse Encode(const Call& call,
-                              const CallAnswered& answer) const = 0;
+  virtual HttpResponse Encode(const CallAnswered& answer) const = 0;
 };
 
 }  // namespace hyssopbarrow::fleet
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -48,8 +48,8 @@
   return "target";
 }
 
-std::string ToText(StoreStatus status) {
-  switch (status) {
+std::string ResultOf(const StoreRows& reply) {
+  switch (reply.status) {
     case StoreStatus::kOk:
       return "ok";
     case StoreStatus::kConflict:
@@ -62,6 +62,27 @@
   return "unknown";
 }
 
+std::string ResultOf(const OrderReply& reply) {
+  return std::string(ToString(reply.result));
+}
+
+std::string ResultOf(const HostResult& result) {
+  return std::string(ToString(result));
+}
+
+/// Of replies that only say whether there was an answer.
+template <typename Reply>
+std::string ResultOf(const Reply& reply) {
+  return reply.answered ? "ok" : "none";
+}
+
+/// What ParseOwnerReply reads.
+nlohmann::json FormatOwnerReply(AskKind kind, const OwnerReply& reply) {
+  if (kind == AskKind::kWaiting) return {{"waiting", reply.waiting}};
+  if (!reply.state.has_value()) return {{"state", nullptr}};
+  return {{"state", ToString(*reply.state)}};
+}
+
 OwnerReply ParseOwnerReply(AskKind kind, TransferResult result,
                            const HttpResponse& response) {
   OwnerReply reply;
@@ -163,9 +184,9 @@
 void EntryHost::RunOnce() {
   Moment at = Now();
   if (next_tick_ <= at.now) {
-    Effects effects;
-    OnTick(entry_, at, effects);
-    Execute(effects);
+    Feed([this](const Moment& moment, Effects& effects) {
+      OnTick(entry_, moment, effects);
+    });
   }
   at = Now();
   next_tick_ = NextTick(entry_, at.now);
@@ -182,9 +203,9 @@
        {"owner", entry_.owner.has_value() ? "yes" : "no"}});
   stop_by_ = at.now + settings_.stop_within;
   quiet_since_ = at.now + kStopNotBefore;
-  Effects effects;
-  OnStop(entry_, at, effects);
-  Execute(effects);
+  Feed([this](const Moment& moment, Effects& effects) {
+    OnStop(entry_, moment, effects);
+  });
 }
 
 bool EntryHost::IsStopped() const {
@@ -214,37 +235,28 @@
   call.number = next_call_++;
   const std::int64_t number = call.number;
   if (stop_by_.has_value()) quiet_since_ = std::max(quiet_since_, at.now);
-  Waiting waiting{.call = call, .responder = responder, .arrived = at.now};
-  waiting.call.spec.reset();
-  waiting_.emplace(number, std::move(waiting));
+  waiting_.emplace(
+      number,
+      Waiting{.kind = call.kind, .responder = responder, .arrived = at.now});
   responder.OnGone([this, number] {
     if (waiting_.erase(number) > 0) OnCallerGone(entry_, number);
   });
-  Effects effects;
-  OnCall(entry_, std::move(call), at, effects);
-  Execute(effects);
+  Feed([&](const Moment& moment, Effects& effects) {
+    OnCall(entry_, std::move(call), moment, effects);
+  });
 }
 
 void EntryHost::ServePeer(const HttpRequest& request,
                           const Responder& responder) {
   std::string_view path = request.path;
-  if (ConsumePrefix(path, kJobPath)) {
-    const OwnerReply reply =
-        AnswerPeer(entry_, AskKind::kJobState, std::string(path));
-    if (!reply.answered) return responder.Send(ErrorResponse(503, "not owner"));
-    const nlohmann::json state =
-        reply.state.has_value()
-            ? nlohmann::json(std::string(ToString(*reply.state)))
-            : nlohmann::json();
-    return responder.Send(JsonResponse(200, {{"state", state}}));
-  }
-  if (ConsumePrefix(path, kWaitingPath)) {
-    const OwnerReply reply =
-        AnswerPeer(entry_, AskKind::kWaiting, std::string(path));
-    if (!reply.answered) return responder.Send(ErrorResponse(503, "not owner"));
-    return responder.Send(JsonResponse(200, {{"waiting", reply.waiting}}));
+  const bool state = ConsumePrefix(path, kJobPath);
+  if (!state && !ConsumePrefix(path, kWaitingPath)) {
+    return responder.Send(ErrorResponse(404, "no such resource"));
   }
-  responder.Send(ErrorResponse(404, "no such resource"));
+  const AskKind kind = state ? AskKind::kJobState : AskKind::kWaiting;
+  const OwnerReply reply = AnswerPeer(entry_, kind, std::string(path));
+  if (!reply.answered) return responder.Send(ErrorResponse(503, "not owner"));
+  responder.Send(JsonResponse(200, FormatOwnerReply(kind, reply)));
 }
 
 void EntryHost::Execute(const Effects& effects) {
@@ -252,62 +264,39 @@
   next_tick_ = std::min(next_tick_, NextTick(entry_, Now().now));
 }
 
-void EntryHost::Execute(const Effect& effect) {
-  const Instant sent = Now().now;
-  const auto store_reply = [this, sent](std::int64_t id, std::string system) {
-    return [this, sent, id, system = std::move(system)](const StoreRows& rows) {
-      const Moment at = Now();
-      RecordReply(metrics_, system, ToText(rows.status), at.now - sent);
-      Effects effects;
-      OnStoreReply(entry_, id, rows, at, effects);
-      Execute(effects);
-    };
+void EntryHost::Feed(
+    const std::function<void(const Moment&, Effects&)>& event) {
+  Effects effects;
+  event(Now(), effects);
+  Execute(effects);
+}
+
+template <typename Take>
+auto EntryHost::Record(std::string system, std::int64_t id, Take take) {
+  return [this, sent = Now().now, system = std::move(system), id,
+          take](const auto& reply) {
+    Feed([&](const Moment& at, Effects& effects) {
+      RecordReply(metrics_, system, ResultOf(reply), at.now - sent);
+      take(entry_, id, reply, at, effects);
+    });
   };
+}
+
+void EntryHost::Execute(const Effect& effect) {
   if (const auto* read = std::get_if<ReadRows>(&effect)) {
-    backend_.Read(*read, store_reply(read->id, "store_read"));
+    backend_.Read(*read, Record("store_read", read->id, OnStoreReply));
   } else if (const auto* watch = std::get_if<WatchRows>(&effect)) {
-    backend_.Watch(*watch, store_reply(watch->id, "store_watch"));
+    backend_.Watch(*watch, Record("store_watch", watch->id, OnStoreReply));
   } else if (const auto* commit = std::get_if<CommitRows>(&effect)) {
-    backend_.Commit(*commit, store_reply(commit->id, "store_commit"));
+    backend_.Commit(*commit, Record("store_commit", commit->id, OnStoreReply));
   } else if (const auto* order = std::get_if<TargetOrder>(&effect)) {
-    backend_.Order(
-        *order, [this, sent, id = order->id,
-                 system = SystemOf(*order)](const OrderReply& reply) {
-          const Moment at = Now();
-          RecordReply(metrics_, system, std::string(ToString(reply.result)),
-                      at.now - sent);
-          Effects effects;
-          OnOrderReply(entry_, id, reply, at, effects);
-          Execute(effects);
-        });
+    backend_.Order(*order, Record(SystemOf(*order), order->id, OnOrderReply));
   } else if (const auto* approval = std::get_if<ApprovalRequest>(&effect)) {
-    backend_.Approve(
-        *approval, [this, sent, id = approval->id](const ApprovalReply& reply) {
-          const Moment at = Now();
-          RecordReply(metrics_, "approval", reply.answered ? "ok" : "none",
-                      at.now - sent);
-          Effects effects;
-          OnApproval(entry_, id, reply, at, effects);
-          Execute(effects);
-        });
+    backend_.Approve(*approval, Record("approval", approval->id, OnApproval));
   } else if (const auto* list = std::get_if<ListHosts>(&effect)) {
-    backend_.List(*list, [this, sent, id = list->id](const HostList& hosts) {
-      const Moment at = Now();
-      RecordReply(metrics_, "host_list", hosts.answered ? "ok" : "none",
-                  at.now - sent);
-      Effects effects;
-      OnHosts(entry_, id, hosts, at, effects);
-      Execute(effects);
-    });
+    backend_.List(*list, Record("host_list", list->id, OnHosts));
   } else if (const auto* host = std::get_if<HostOrder>(&effect)) {
-    backend_.Order(*host, [this, sent, id = host->id](HostResult result) {
-      const Moment at = Now();
-      RecordReply(metrics_, "host_order", std::string(ToString(result)),
-                  at.now - sent);
-      Effects effects;
-      OnHostReply(entry_, id, result, at, effects);
-      Execute(effects);
-    });
+    backend_.Order(*host, Record("host_order", host->id, OnHostReply));
   } else if (const auto* ask = std::get_if<AskOwner>(&effect)) {
     Ask(*ask);
   } else if (const auto* answer = std::get_if<CallAnswered>(&effect)) {
@@ -318,15 +307,10 @@
 }
 
 void EntryHost::Ask(const AskOwner& ask) {
-  const auto reply = [this, sent = Now().now, id = ask.id, kind = ask.kind](
+  const auto reply = [kind = ask.kind,
+                      take = Record("owner", ask.id, OnOwnerReply)](
                          TransferResult result, const HttpResponse& response) {
-    const Moment at = Now();
-    const OwnerReply parsed = ParseOwnerReply(kind, result, response);
-    RecordReply(metrics_, "owner", parsed.answered ? "ok" : "none",
-                at.now - sent);
-    Effects effects;
-    OnOwnerReply(entry_, id, parsed, at, effects);
-    Execute(effects);
+    take(ParseOwnerReply(kind, result, response));
   };
   absl::StatusOr<Address> address = ParseAddress(ask.address);
   if (!address.ok()) {
@@ -349,10 +333,9 @@
   const Waiting waiting = std::move(it->second);
   waiting_.erase(it);
   const Instant now = Now().now;
-  RecordCall(metrics_, waiting.call.kind, answer.outcome,
-             now - waiting.arrived);
+  RecordCall(metrics_, waiting.kind, answer.outcome, now - waiting.arrived);
   if (stop_by_.has_value()) quiet_since_ = std::max(quiet_since_, now);
-  HttpResponse response = codec_.Encode(waiting.call, answer);
+  HttpResponse response = codec_.Encode(answer);
   response.close_connection = stop_by_.has_value();
   waiting.responder.Send(response);
 }
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -2,6 +2,7 @@
 #define HYSSOPBARROW_FLEET_ENTRY_HOST_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,7 +58,7 @@
 
  private:
   struct Waiting {
-    Call call;
+    CallKind kind = CallKind::kState;
     Responder responder;
     Instant arrived;
   };
@@ -67,6 +68,11 @@
            std::vector<std::pair<std::string, std::string>> fields);
   void ServeCaller(const HttpRequest& request, const Responder& responder);
   void ServePeer(const HttpRequest& request, const Responder& responder);
+  /// Hands an event to the decision core and does what it wants done.
+  void Feed(const std::function<void(const Moment&, Effects&)>& event);
+  /// Takes a reply of `system` to request `id` into the metrics and the core.
+  template <typename Take>
+  auto Record(std::string system, std::int64_t id, Take take);
   void Execute(const Effects& effects);
   void Execute(const Effect& effect);
   void Ask(const AskOwner& ask);
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -19,6 +19,21 @@
   return std::string(16 - digits.size(), '0') + digits;
 }
 
+/// What an owner needs that is tested without a world around it.
+struct Alone {
+  Terms terms;
+  std::int64_t next_id = 1;
+  Effects out;
+
+  /// 90 s after both clocks began.
+  Context MakeContext() {
+    return {.at = {.now = Instant(seconds(90)), .unix_ms = 90'000},
+            .terms = terms,
+            .next_id = next_id,
+            .out = out};
+  }
+};
+
 void ExpectNoBreach(const World& world) {
   CAPTURE(world.breaches);
   CHECK(world.breaches.empty());
@@ -332,13 +347,8 @@
   }
   owner.targets["i-1"].missed = missed;
   owner.steward.waves[1].wave = {.number = 1, .hosts = {"m-0"}};
-  Terms terms;
-  std::int64_t next_id = 1;
-  Effects out;
-  Context context{.at = {.now = Instant(seconds(90)), .unix_ms = 90'000},
-                  .terms = terms,
-                  .next_id = next_id,
-                  .out = out};
+  Alone alone;
+  Context context = alone.MakeContext();
   AdvanceSteward(owner, context);
   const Run& run = owner.targets["i-0"].runs[{JobId(1), 0, 0, 0}];
   CHECK(owner.targets["i-0"].reserved);
@@ -366,13 +376,8 @@
   const auto [tail_ms, percent] = GENERATE(table<std::int64_t, std::int64_t>(
       {{120, 0}, {90, 50}, {70, 100}, {20, 100}}));
   Owner owner = SharedTarget(tail_ms);
-  Terms terms;
-  std::int64_t next_id = 1;
-  Effects out;
-  Context context{.at = {.now = Instant(seconds(90))},
-                  .terms = terms,
-                  .next_id = next_id,
-                  .out = out};
+  Alone alone;
+  Context context = alone.MakeContext();
   AdvanceSharing(owner, context);
   CAPTURE(tail_ms);
   CHECK(owner.targets["i-1"].runs[{JobId(1), 0, 1, 0}].pace == percent);
@@ -387,13 +392,8 @@
 
 TEST_CASE("a wave's time runs from when the first steward saw it") {
   Owner owner;
-  Terms terms;
-  std::int64_t next_id = 1;
-  Effects out;
-  Context context{.at = {.now = Instant(seconds(90)), .unix_ms = 90'000},
-                  .terms = terms,
-                  .next_id = next_id,
-                  .out = out};
+  Alone alone;
+  Context context = alone.MakeContext();
   StoreRows rows;
   rows.rows.push_back(
       {.key = "wave/1", .value = {{"done", {"m-3"}}, {"seen_ms", 70'000}}});
