--- a/Source/Control/admin_client.cc
+++ b/Source/Control/admin_client.cc
@@ -47,7 +47,7 @@
   ClientRequest out{
       .address = daemon_,
       .request = {.method = request.method,
-                  .path = StrCat("/admin/v1/", request.path),
+                  .path = StrCat(base_, request.path),
                   .query = {},
                   .headers = {{"authorization", StrCat("Bearer ", key_)}},
                   .body = request.body.is_null() ? "" : request.body.dump()},
@@ -67,6 +67,11 @@
   return reply;
 }
 
+void AdminClient::Wait(Duration duration) {
+  const Instant end = SteadyNow() + duration;
+  while (SteadyNow() < end) loop_.RunOnce(end);
+}
+
 AdminReply AdminClient::List(const std::string& kind) {
   return Send({.method = "GET", .path = kind});
 }
--- a/Source/Control/admin_client.h
+++ b/Source/Control/admin_client.h
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "Http/address.h"
 #include "Http/http_client.h"
@@ -29,25 +31,37 @@
   nlohmann::json body;  ///< Holds `error` unless `code` is kOk.
 };
 
-/// A request to the operators' interface.
+/// Paths of the interfaces that hyssopbarrowctl speaks.
+inline constexpr std::string_view kAdminPath = "/admin/v1/";
+inline constexpr std::string_view kQueuesPath = "/v1/queues/";
+inline constexpr std::string_view kFleetPath = "/v1/fleet/";
+
+/// A request to the interface of a client.
 struct AdminRequest {
   std::string method;
-  std::string path;  ///< Below `/admin/v1/`.
+  std::string path;  ///< Below that of the interface.
   nlohmann::json body;
   std::optional<std::int64_t> if_match;
 
   friend bool operator==(const AdminRequest&, const AdminRequest&) = default;
 };
 
-/// Client of one daemon's operator interface; waits for each reply.
+/// Client of one interface of a daemon; waits for each reply.
 class AdminClient {
  public:
   AdminClient(EventLoop& loop, HttpClient& client, const Address& daemon,
-              std::string key)
-      : loop_(loop), client_(client), daemon_(daemon), key_(std::move(key)) {}
+              std::string key, std::string_view base = kAdminPath)
+      : loop_(loop),
+        client_(client),
+        daemon_(daemon),
+        key_(std::move(key)),
+        base_(base) {}
 
   AdminReply Send(const AdminRequest& request);
 
+  /// Lets `duration` pass.
+  void Wait(Duration duration);
+
   /// All rows of a kind, as the field `rows` of the body.
   AdminReply List(const std::string& kind);
 
@@ -56,6 +70,7 @@
   HttpClient& client_;
   Address daemon_;
   std::string key_;
+  std::string base_;
 };
 
 }  // namespace hyssopbarrow
--- a/Source/Control/command.cc
+++ b/Source/Control/command.cc
@@ -12,7 +12,7 @@
 
 #include "Control/apply_command.h"
 #include "Control/completion.h"
-#include "Control/format.h"
+#include "Control/job_command.h"
 #include "Model/snapshot.h"
 #include "Model/text.h"
 #include "Report/burn.h"
@@ -35,42 +35,6 @@
   ExitCode (*run)(const CommandContext&, const Arguments&);
 };
 
-ExitCode Usage(const CommandContext& context, std::string_view text) {
-  context.err << "hyssopbarrowctl: " << text << "\n";
-  return ExitCode::kUsage;
-}
-
-ExitCode Complain(const CommandContext& context, const AdminReply& reply) {
-  context.err << "hyssopbarrowctl: " << reply.body.value("error", "failed")
-              << "\n";
-  if (reply.body.contains("conflicts")) {
-    context.err << reply.body["conflicts"].dump(2) << "\n";
-  }
-  return reply.code;
-}
-
-std::vector<nlohmann::json> RowsOf(const AdminReply& reply) {
-  return reply.body.value("rows", std::vector<nlohmann::json>{});
-}
-
-ExitCode PrintRows(const CommandContext& context,
-                   const std::vector<nlohmann::json>& rows) {
-  switch (context.options.output) {
-    case OutputFormat::kTable:
-      context.out << FormatRows(rows);
-      break;
-    case OutputFormat::kJson:
-      context.out << nlohmann::json(rows).dump(2) << "\n";
-      break;
-    case OutputFormat::kNames:
-      for (const auto& it : rows) {
-        context.out << FormatValue(it["name"]) << "\n";
-      }
-      break;
-  }
-  return ExitCode::kOk;
-}
-
 ExitCode PrintChanged(const CommandContext& context, const AdminReply& reply) {
   if (reply.code != ExitCode::kOk) return Complain(context, reply);
   if (context.options.output == OutputFormat::kJson) {
@@ -119,23 +83,12 @@
                     .if_match = context.options.if_match.value_or(revision)}));
 }
 
-/// A value is JSON where it parses as such, and text otherwise.
-nlohmann::json ParseValue(const std::string& text) {
-  auto json = nlohmann::json::parse(text, nullptr, false);
-  return json.is_discarded() ? nlohmann::json(text) : json;
-}
-
 ExitCode Set(const CommandContext& context, const Arguments& arguments) {
-  nlohmann::json fields = nlohmann::json::object();
-  for (std::size_t n = 2; n < arguments.size(); ++n) {
-    const std::size_t equals = arguments[n].find('=');
-    if (equals == std::string::npos) {
-      return Usage(context, StrCat("'", arguments[n], "' must be FIELD=VALUE"));
-    }
-    const std::string field = arguments[n].substr(0, equals);
-    fields[field] = ParseValue(arguments[n].substr(equals + 1));
+  const absl::StatusOr<nlohmann::json> fields = ParseFields(arguments, 2);
+  if (!fields.ok()) {
+    return Usage(context, std::string(fields.status().message()));
   }
-  return Change(context, arguments[0], arguments[1], fields, true);
+  return Change(context, arguments[0], arguments[1], *fields, true);
 }
 
 ExitCode Delete(const CommandContext& context, const Arguments& arguments) {
@@ -241,6 +194,15 @@
 constexpr std::size_t kMaxFields = 64;
 
 constexpr std::array kCommands = {
+    Command{"submit", "QUEUE [FIELD=VALUE...]",
+            "hand in a job of one step, or the one in --spec, and print its id",
+            1, kMaxFields, SubmitJob},
+    Command{"status", "QUEUE JOB", "print the state of a job", 2, 2, ShowJob},
+    Command{"wait", "QUEUE JOB", "wait until a job has ended", 2, 2,
+            WaitForJob},
+    Command{"cancel", "QUEUE JOB", "cancel a job", 2, 2, CancelJob},
+    Command{"fleet", "jobs|targets|owners|waves",
+            "print what the fleet's owner knows", 1, 1, ShowFleet},
     Command{"list", "KIND", "print all rows of a kind", 1, 1, List},
     Command{"show", "KIND NAME", "print one row", 2, 2, Show},
     Command{"set", "KIND NAME FIELD=VALUE...", "create or change a row", 3,
@@ -267,7 +229,10 @@
   StrAppend(text,
             "\nKIND is team, pool, host, queue or key.\n"
             "The operator key is read from the file given by --key_file, or "
-            "from the variable HYSSOPBARROW_KEY.\n"
+            "from the variable HYSSOPBARROW_KEY; the key for jobs from "
+            "--caller_key_file or HYSSOPBARROW_CALLER_KEY.\n"
+            "A job's fields are payload, repeats, start_ms, interval_ms and "
+            "those of a step, such as count, cpu_milli and estimate_ms.\n"
             "Exit codes: 0 done, 1 failed, 2 wrong usage or value, 3 "
             "unreachable, 4 conflict, 5 not found, 6 forbidden, 7 unknown "
             "whether the change comes into force.\n");
--- a/Source/Control/command.h
+++ b/Source/Control/command.h
@@ -1,36 +1,13 @@
 #ifndef HYSSOPBARROW_CONTROL_COMMAND_H_
 #define HYSSOPBARROW_CONTROL_COMMAND_H_
 
-#include <cstdint>
-#include <optional>
-#include <ostream>
 #include <string>
 #include <vector>
 
-#include "Control/admin_client.h"
+#include "Control/context.h"
 
 namespace hyssopbarrow {
 
-/// How results are printed.
-enum class OutputFormat { kTable, kJson, kNames };
-
-/// Options that change what a command does.
-struct CommandOptions {
-  OutputFormat output = OutputFormat::kTable;
-  std::optional<std::int64_t> if_match;
-  bool dry_run = false;  ///< `apply` shows the difference and changes nothing.
-  std::string html;      ///< `report`: file to write the page to.
-  bool prune = false;    ///< `apply` deletes rows that the file does not name.
-};
-
-/// What every command needs.
-struct CommandContext {
-  AdminClient& client;
-  CommandOptions options;
-  std::ostream& out;
-  std::ostream& err;
-};
-
 /// Text of `--help`: all commands and exit codes.
 std::string UsageText();
 
--- a/Source/Daemon/main.cc
+++ b/Source/Daemon/main.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -13,8 +14,11 @@
 #include "Daemon/daemon.h"
 #include "Daemon/logging.h"
 #include "Daemon/settings.h"
+#include "Fleet/entry_host.h"
+#include "Fleet/job_api.h"
 #include "Model/text.h"
 #include "Policy/registration.h"
+#include "Standalone/fleet_stand_in.h"
 #include "Standalone/sample.h"
 #include "Standalone/table_server.h"
 #include "Standalone/worker_server.h"
@@ -23,7 +27,8 @@
 DEFINE_bool(check_settings, false,
             "check the settings, print the result and exit");
 DEFINE_bool(standalone, false,
-            "serve on loopback with an embedded table and embedded workers; "
+            "serve calls and jobs on loopback with an embedded table, "
+            "embedded workers and an embedded fleet; "
             "needs no settings");
 
 DEFINE_string(address_file, "",
@@ -58,13 +63,26 @@
   return it;
 }
 
-/// The embedded stand-ins of `--standalone`.
+fleet::EntryHostSettings JobSettings(const Settings& settings) {
+  return {.node = settings.node_name,
+          .holder = settings.node_name,
+          .callers = {"127.0.0.1", 8082},
+          .readiness = {"127.0.0.1", 0},
+          .peers = {"127.0.0.1", 8083},
+          .metrics = {"127.0.0.1", 0}};
+}
+
+/// The embedded stand-ins of `--standalone`, and the host that runs jobs on
+/// them.
 struct Embedded {
   explicit Embedded(EventLoop& loop) : table_server(loop, table) {}
 
   Table table;
   TableServer table_server;
   std::vector<std::unique_ptr<WorkerServer>> workers;
+  std::unique_ptr<fleet::FleetStandIn> fleet;
+  fleet::JobCodec codec;
+  std::unique_ptr<fleet::EntryHost> jobs;
 };
 
 absl::Status StartEmbedded(EventLoop& loop, Settings& settings,
@@ -81,9 +99,13 @@
     return s;
   }
   settings.table = embedded.table_server.BoundAddress();
-  embedded.table.Commit(
-      LoadTransaction(SampleSnapshot(addresses, settings.data_centre)));
-  return absl::OkStatus();
+  const Snapshot sample = SampleSnapshot(addresses, settings.data_centre);
+  embedded.table.Commit(LoadTransaction(sample));
+  embedded.fleet =
+      std::make_unique<fleet::FleetStandIn>(loop, SampleFleet(sample));
+  embedded.jobs = std::make_unique<fleet::EntryHost>(
+      loop, JobSettings(settings), *embedded.fleet, embedded.codec);
+  return embedded.jobs->Start();
 }
 
 std::int64_t NewIncarnation() {
@@ -118,7 +140,9 @@
   return absl::UnavailableError(StrCat("cannot write ", file));
 }
 
-int Serve(EventLoop& loop, const Settings& settings) {
+/// Serves until a signal; `turn` is one turn of the loop.
+int Serve(EventLoop& loop, const Settings& settings,
+          const std::function<void()>& turn) {
   Daemon daemon(loop, settings, ChooseIncarnation(loop, settings));
   if (absl::Status s = daemon.Start(); !s.ok()) return Complain(s);
   if (!FLAGS_address_file.empty()) {
@@ -126,7 +150,7 @@
     if (!status.ok()) return Complain(status);
   }
   while (!daemon.IsStopped()) {
-    loop.RunOnce(SteadyNow() + kStopPoll);
+    turn();
     if (g_stop_requested != 0) daemon.RequestStop();
   }
   Log(LogLevel::kInfo, "stopped");
@@ -141,7 +165,7 @@
   if (absl::Status s = StartEmbedded(loop, settings, embedded); !s.ok()) {
     return Complain(s);
   }
-  return Serve(loop, settings);
+  return Serve(loop, settings, [&embedded] { embedded.jobs->RunOnce(); });
 }
 
 int ServeWithSettings() {
@@ -157,7 +181,8 @@
   }
   ConfigureLogging(settings->log_level, settings->log_format);
   EventLoop loop;
-  return Serve(loop, *settings);
+  return Serve(loop, *settings,
+               [&loop] { loop.RunOnce(SteadyNow() + kStopPoll); });
 }
 
 int Main() {
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "Fleet/fleet_view.h"
 #include "Http/json_response.h"
 #include "Model/text.h"
 
@@ -17,6 +18,7 @@
 
 constexpr std::string_view kJobPath = "/v1/jobs/";
 constexpr std::string_view kWaitingPath = "/v1/waiting/";
+constexpr std::string_view kFleetPath = "/v1/fleet/";
 /// A question to the owner; the store is asked when it gets no answer.
 constexpr Duration kAskTimeout = milliseconds(350);
 /// Bodies of jobs: up to 100 steps and a payload of 4000 bytes.
@@ -181,7 +183,7 @@
              Now());
 }
 
-void EntryHost::RunOnce() {
+Duration EntryHost::Tick() {
   Moment at = Now();
   if (next_tick_ <= at.now) {
     Feed([this](const Moment& moment, Effects& effects) {
@@ -191,7 +193,11 @@
   at = Now();
   next_tick_ = NextTick(entry_, at.now);
   log_.Flush();
-  const Duration wait = std::min(Remaining(next_tick_, at.now), kLongestTurn);
+  return std::min(Remaining(next_tick_, at.now), kLongestTurn);
+}
+
+void EntryHost::RunOnce() {
+  const Duration wait = Tick();
   loop_.RunOnce(SteadyNow() + wait);
 }
 
@@ -249,6 +255,9 @@
 void EntryHost::ServePeer(const HttpRequest& request,
                           const Responder& responder) {
   std::string_view path = request.path;
+  if (ConsumePrefix(path, kFleetPath)) {
+    return responder.Send(ShowFleet(entry_, path));
+  }
   const bool state = ConsumePrefix(path, kJobPath);
   if (!state && !ConsumePrefix(path, kWaitingPath)) {
     return responder.Send(ErrorResponse(404, "no such resource"));
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -44,7 +44,10 @@
   /// Errors: kUnavailable when an address cannot be bound.
   absl::Status Start();
 
-  /// One turn of the loop with all that is due.
+  /// Does all that is due; returns the time until Tick is due again.
+  Duration Tick();
+
+  /// Tick and one turn of the loop.
   void RunOnce();
 
   /// Hands over what this host owns and finishes the calls at hand.
@@ -55,6 +58,8 @@
   void Reload(const absl::StatusOr<Terms>& terms);
 
   const Entry& entry() const { return entry_; }
+  Address CallerAddress() const { return caller_server_.BoundAddress(); }
+  Address PeerAddress() const { return peer_server_.BoundAddress(); }
 
  private:
   struct Waiting {
--- /dev/null
+++ b/Source/Fleet/fleet_view.cc
@@ -0,0 +1,135 @@
+#include "Fleet/fleet_view.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Http/json_response.h"
+#include "Model/text.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxRows = 1000;  ///< About 200 KB of text.
+
+json RowOf(std::string_view kind, const std::string& name,
+           std::int64_t revision, json value) {
+  return {{"kind", kind},
+          {"name", name},
+          {"revision", revision},
+          {"value", std::move(value)}};
+}
+
+json ValueOf(const Job& job) {
+  const JobSpec& spec = job.record.spec;
+  std::int64_t each = 0;  // Tasks of one timed run.
+  for (const Step& it : spec.steps) each += it.count;
+  std::int64_t done = each * static_cast<std::int64_t>(job.finished.size());
+  std::int64_t running = 0;
+  std::int64_t failed_runs = 0;
+  for (const auto& [number, occurrence] : job.open) {
+    for (const StepProgress& step : occurrence.steps) {
+      done += step.done;
+      for (const Task& task : step.tasks) {
+        running += task.sent.empty() ? 0 : 1;
+        failed_runs += static_cast<std::int64_t>(task.failures.size());
+      }
+    }
+  }
+  return {{"queue", job.record.queue},
+          {"team", job.record.team},
+          {"state", ToString(job.state)},
+          {"stored", job.final_stored},
+          {"tasks", each * std::max<std::int64_t>(1, spec.repeats)},
+          {"tasks_done", done},
+          {"tasks_running", running},
+          {"failed_runs", failed_runs}};
+}
+
+json ValueOf(const TargetView& target) {
+  return {{"pool", target.entry.pool},
+          {"host", target.entry.host},
+          {"data_centre", target.entry.data_centre},
+          {"listed", target.listed},
+          {"heard", target.synced && target.missed == 0},
+          {"draining", target.entry.draining},
+          {"reserved", target.reserved},
+          {"runs", target.runs.size()},
+          {"cpu_milli_used", target.used.cpu_milli},
+          {"cpu_milli", target.entry.capacity.cpu_milli}};
+}
+
+json ValueOf(const WaveView& wave) {
+  return {{"hosts", wave.wave.hosts.size()},
+          {"hosts_done", wave.done.size()},
+          {"limit", wave.wave.limit},
+          {"completed", wave.completed}};
+}
+
+std::vector<json> JobRows(const Owner& owner) {
+  std::vector<json> rows;
+  for (const bool final : {false, true}) {
+    for (const auto& [id, job] : owner.jobs) {
+      if (IsFinal(job.state) != final) continue;
+      rows.push_back(RowOf("job", id, owner.commit_sequence, ValueOf(job)));
+    }
+  }
+  return rows;
+}
+
+std::vector<json> TargetRows(const Owner& owner) {
+  std::vector<json> rows;
+  for (const auto& [id, target] : owner.targets) {
+    rows.push_back(RowOf("target", id, owner.commit_sequence, ValueOf(target)));
+  }
+  return rows;
+}
+
+std::vector<json> WaveRows(const Owner& owner) {
+  std::vector<json> rows;
+  for (const auto& [number, wave] : owner.steward.waves) {
+    rows.push_back(RowOf("wave", std::to_string(number), owner.commit_sequence,
+                         ValueOf(wave)));
+  }
+  return rows;
+}
+
+std::vector<json> OwnerRows(const Entry& entry) {
+  const Ownership& it = entry.ownership;
+  if (!it.known || it.released) return {};
+  return {RowOf("owner", it.holder, it.lease_revision,
+                {{"epoch", it.epoch},
+                 {"address", it.address},
+                 {"this_host", entry.owner.has_value()}})};
+}
+
+HttpResponse Rows(std::vector<json> rows) {
+  const std::size_t more = rows.size() > kMaxRows ? rows.size() - kMaxRows : 0;
+  rows.resize(rows.size() - more);
+  return JsonResponse(200, {{"rows", rows}, {"more", more}});
+}
+
+}  // namespace
+
+HttpResponse ShowFleet(const Entry& entry, std::string_view kind) {
+  if (kind == "owners") return Rows(OwnerRows(entry));
+  if (kind != "jobs" && kind != "targets" && kind != "waves") {
+    return ErrorResponse(404, "expected jobs, targets, owners or waves");
+  }
+  if (!entry.owner.has_value()) {
+    return ErrorResponse(
+        503, entry.ownership.released
+                 ? "no entry host owns the fleet"
+                 : StrCat("ask the owner at ", entry.ownership.address));
+  }
+  const Owner& owner = *entry.owner;
+  if (kind == "jobs") return Rows(JobRows(owner));
+  return Rows(kind == "targets" ? TargetRows(owner) : WaveRows(owner));
+}
+
+}  // namespace hyssopbarrow::fleet
--- /dev/null
+++ b/Source/Fleet/job_api.cc
@@ -0,0 +1,112 @@
+#include "Fleet/job_api.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Http/json_response.h"
+#include "Model/snapshot.h"
+#include "Model/text.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+/// Without the header `x-deadline-ms`.
+constexpr std::int64_t kDefaultTimeMs = 3000;
+
+struct Shown {
+  int status = 503;
+  std::string_view outcome;
+};
+
+Shown ShownOf(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kAccepted:
+      return {200, "accepted"};
+    case CallOutcome::kState:
+    case CallOutcome::kWaiting:
+    case CallOutcome::kCancelled:
+      return {200, "answered"};
+    case CallOutcome::kNoQueue:
+    case CallOutcome::kNoJob:
+      return {404, "not-run"};
+    case CallOutcome::kBadKey:
+      return {403, "not-run"};
+    case CallOutcome::kInvalid:
+      return {400, "not-run"};
+    case CallOutcome::kNotAccepted:
+      return {503, "not-run"};
+    case CallOutcome::kUnavailable:
+      return {503, "unknown"};
+    case CallOutcome::kUnknown:
+      return {504, "unknown"};
+  }
+  return {504, "unknown"};
+}
+
+void TakeSpec(const std::string& body, Call& call) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (json.is_discarded()) {
+    call.spec_error = "the body is not JSON";
+    return;
+  }
+  absl::StatusOr<JobSpec> spec = ParseJobSpec(json);
+  if (spec.ok()) {
+    call.spec = *std::move(spec);
+  } else {
+    call.spec_error = std::string(spec.status().message());
+  }
+}
+
+}  // namespace
+
+std::string JobsPath(std::string_view queue) {
+  return StrCat("/v1/queues/", queue, "/jobs/");
+}
+
+Call JobCodec::Decode(const HttpRequest& request) const {
+  Call call{.kind = CallKind::kState, .path = request.path};
+  call.request_id = FindHeader(request.headers, "x-request-id").value_or("");
+  if (const auto header = FindHeader(request.headers, "authorization")) {
+    std::string_view secret = *header;
+    if (ConsumePrefix(secret, kBearer)) call.key = DigestOf(secret);
+  }
+  const auto time = FindHeader(request.headers, "x-deadline-ms");
+  const auto ms = time ? ParseInteger<std::int64_t>(*time) : std::nullopt;
+  call.time_left = std::chrono::milliseconds(ms.value_or(kDefaultTimeMs));
+  if (request.method == "POST" || request.method == "PUT") {
+    call.kind = CallKind::kSubmit;
+    TakeSpec(request.body, call);
+  } else if (request.method == "DELETE") {
+    call.kind = CallKind::kCancel;
+  }
+  return call;
+}
+
+HttpResponse JobCodec::Encode(const CallAnswered& answer) const {
+  const Shown shown = ShownOf(answer.outcome);
+  nlohmann::json body = nlohmann::json::object();
+  switch (answer.outcome) {
+    case CallOutcome::kAccepted:
+      body["state"] = ToString(JobState::kPending);
+      break;
+    case CallOutcome::kState:
+      body["state"] = ToString(answer.state);
+      break;
+    case CallOutcome::kCancelled:
+      body["state"] = ToString(JobState::kCancelled);
+      break;
+    case CallOutcome::kWaiting:
+      body["waiting"] = answer.waiting;
+      break;
+    default:
+      body["error"] = answer.detail.empty() ? ToString(answer.outcome)
+                                            : std::string_view(answer.detail);
+  }
+  HttpResponse response = JsonResponse(shown.status, body);
+  response.headers.push_back({"x-outcome", std::string(shown.outcome)});
+  if (shown.status == 503) response.headers.push_back({"retry-after", "1"});
+  return response;
+}
+
+}  // namespace hyssopbarrow::fleet
--- a/platform/fields.cc
+++ b/Source/Model/fields.cc
@@ -1,10 +1,11 @@
-#include "fields.h"
+#include "Model/fields.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Model/text.h"
 
-namespace hyssopbarrow::platform {
+namespace hyssopbarrow {
 namespace {
 
 using nlohmann::json;
@@ -18,7 +19,9 @@
 
 Fields::Fields(const json& object, std::string at)
     : object_(object), at_(std::move(at)) {
-  if (!object.is_object()) status_ = Bad(at_, "an object");
+  if (object.is_object()) return;
+  status_ = at_.empty() ? absl::InvalidArgumentError("not a JSON object")
+                        : Bad(at_, "an object");
 }
 
 std::int64_t Fields::Integer(const char* name, std::int64_t fallback) {
@@ -93,23 +96,17 @@
   return it == object_.end() || it->is_null() ? nullptr : &*it;
 }
 
-void Fields::Fail(const char* name, std::string_view expected) {
-  status_.Update(Bad(StrCat(at_, at_.empty() ? "" : ".", name), expected));
-}
-
-fleet::Resources DecodeResources(Fields& fields) {
-  return {.cpu_milli = fields.Integer("Cpu"),
-          .memory_mb = fields.Integer("MemMb"),
-          .gpus = fields.Integer("Gpu")};
+void Fields::RejectUnknown(std::initializer_list<std::string_view> known) {
+  if (!object_.is_object()) return;
+  for (const auto& [name, value] : object_.items()) {
+    const bool found =
+        std::find(known.begin(), known.end(), name) != known.end();
+    if (!found) Fail(name.c_str(), "absent: it is not known");
+  }
 }
 
-fleet::Resources DecodeResourcesAt(Fields& outer, const char* name) {
-  const json* it = outer.Find(name);
-  if (it == nullptr) return {};
-  Fields fields(*it, name);
-  const fleet::Resources resources = DecodeResources(fields);
-  outer.Take(fields.status());
-  return resources;
+void Fields::Fail(const char* name, std::string_view expected) {
+  status_.Update(Bad(StrCat(at_, at_.empty() ? "" : ".", name), expected));
 }
 
-}  // namespace hyssopbarrow::platform
+}  // namespace hyssopbarrow
--- a/platform/fields.h
+++ b/Source/Model/fields.h
@@ -1,16 +1,16 @@
-#ifndef HYSSOPBARROW_PLATFORM_FIELDS_H_
-#define HYSSOPBARROW_PLATFORM_FIELDS_H_
+#ifndef HYSSOPBARROW_MODEL_FIELDS_H_
+#define HYSSOPBARROW_MODEL_FIELDS_H_
 
 #include <cstdint>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "Model/fleet.h"
 #include "absl/status/status.h"
 
-namespace hyssopbarrow::platform {
+namespace hyssopbarrow {
 
 /// Reads the fields of one object and keeps the first error.
 class Fields {
@@ -32,6 +32,9 @@
   /// Null if the field is absent.
   const nlohmann::json* Find(const char* name) const;
 
+  /// Fails if the object has a field that is not in `known`.
+  void RejectUnknown(std::initializer_list<std::string_view> known);
+
   /// Notes that a field is not what was expected.
   void Fail(const char* name, std::string_view expected);
   void Take(const absl::Status& status) { status_.Update(status); }
@@ -45,10 +48,6 @@
   absl::Status status_;
 };
 
-/// The amounts in an object, or in its field `name`; 0 where absent.
-fleet::Resources DecodeResources(Fields& fields);
-fleet::Resources DecodeResourcesAt(Fields& outer, const char* name);
-
-}  // namespace hyssopbarrow::platform
+}  // namespace hyssopbarrow
 
-#endif  // HYSSOPBARROW_PLATFORM_FIELDS_H_
+#endif  // HYSSOPBARROW_MODEL_FIELDS_H_
--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "Model/fields.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow::fleet {
@@ -83,34 +84,58 @@
   return json;
 }
 
-template <typename Value>
-void Take(const nlohmann::json& json, const char* name, Value& out) {
-  if (auto it = json.find(name); it != json.end()) it->get_to(out);
-}
-
-Step TakeStep(const nlohmann::json& json) {
-  Step step;
-  Take(json, "count", step.count);
-  Take(json, "cpu_milli", step.need.cpu_milli);
-  Take(json, "memory_mb", step.need.memory_mb);
-  Take(json, "gpus", step.need.gpus);
-  Take(json, "estimate_ms", step.estimate_ms);
-  Take(json, "depends_on", step.depends_on);
-  Take(json, "saves", step.saves);
-  Take(json, "gang", step.gang);
-  Take(json, "same_rack", step.same_rack);
-  Take(json, "needs_label", step.needs_label);
-  Take(json, "data_rack", step.data_rack);
-  Take(json, "max_per_target", step.max_per_target);
-  Take(json, "allows_copies", step.allows_copies);
-  Take(json, "lasts", step.lasts);
-  Take(json, "image", step.image);
-  Take(json, "tail_target_ms", step.tail_target_ms);
-  Take(json, "fills", step.fills);
-  Take(json, "may_miss", step.may_miss);
+Step TakeStep(const nlohmann::json& json, const std::string& at,
+              absl::Status& status) {
+  Fields fields(json, at);
+  const Step step{.count = fields.Integer("count", 1),
+                  .need = {.cpu_milli = fields.Integer("cpu_milli"),
+                           .memory_mb = fields.Integer("memory_mb"),
+                           .gpus = fields.Integer("gpus")},
+                  .estimate_ms = fields.Integer("estimate_ms"),
+                  .depends_on = fields.Integers("depends_on"),
+                  .saves = fields.Flag("saves"),
+                  .gang = fields.Flag("gang"),
+                  .same_rack = fields.Flag("same_rack"),
+                  .needs_label = fields.Text("needs_label"),
+                  .data_rack = fields.Text("data_rack"),
+                  .max_per_target = fields.Integer("max_per_target"),
+                  .allows_copies = fields.Flag("allows_copies"),
+                  .lasts = fields.Flag("lasts"),
+                  .image = fields.Text("image"),
+                  .tail_target_ms = fields.Integer("tail_target_ms"),
+                  .fills = fields.Flag("fills"),
+                  .may_miss = fields.Integer("may_miss")};
+  status.Update(fields.status());
   return step;
 }
 
+/// Fails on a field that TakeStep does not read.
+absl::Status CheckStepFields(const nlohmann::json& json,
+                             const std::string& at) {
+  Fields fields(json, at);
+  fields.RejectUnknown({"count", "cpu_milli", "memory_mb", "gpus",
+                        "estimate_ms", "depends_on", "saves", "gang",
+                        "same_rack", "needs_label", "data_rack",
+                        "max_per_target", "allows_copies", "lasts", "image",
+                        "tail_target_ms", "fills", "may_miss"});
+  return fields.status();
+}
+
+std::string StepAt(std::size_t number) { return StrCat("steps[", number, "]"); }
+
+JobSpec TakeSpec(Fields& fields) {
+  JobSpec spec{.payload = fields.Text("payload"),
+               .repeats = fields.Integer("repeats"),
+               .start_ms = fields.Integer("start_ms"),
+               .interval_ms = fields.Integer("interval_ms")};
+  absl::Status status;
+  for (const nlohmann::json& it : fields.List("steps", true)) {
+    spec.steps.push_back(TakeStep(it, StepAt(spec.steps.size()), status));
+  }
+  fields.Take(status);
+  return spec;
+}
+
 }  // namespace
 
 absl::Status Validate(const JobSpec& spec) {
@@ -188,28 +213,35 @@
   return json;
 }
 
+absl::StatusOr<JobSpec> ParseJobSpec(const nlohmann::json& json) {
+  Fields fields(json, "");
+  JobSpec spec = TakeSpec(fields);
+  fields.RejectUnknown(
+      {"payload", "steps", "repeats", "start_ms", "interval_ms"});
+  const nlohmann::json& steps = fields.List("steps");
+  for (std::size_t n = 0; n < steps.size(); ++n) {
+    fields.Take(CheckStepFields(steps[n], StepAt(n)));
+  }
+  if (!fields.status().ok()) return fields.status();
+  if (absl::Status s = Validate(spec); !s.ok()) return s;
+  return spec;
+}
+
 absl::StatusOr<JobRecord> ParseJobRecord(std::string_view id,
                                          const nlohmann::json& json) {
-  JobRecord record;
-  record.id = std::string(id);
-  try {
-    Take(json, "queue", record.queue);
-    Take(json, "pool", record.pool);
-    Take(json, "team", record.team);
-    Take(json, "accepted_ms", record.accepted_ms);
-    Take(json, "max_attempts", record.max_attempts);
-    Take(json, "payload", record.spec.payload);
-    for (const nlohmann::json& it : json.at("steps")) {
-      record.spec.steps.push_back(TakeStep(it));
-    }
-    Take(json, "repeats", record.spec.repeats);
-    Take(json, "start_ms", record.spec.start_ms);
-    Take(json, "interval_ms", record.spec.interval_ms);
-  } catch (const nlohmann::json::exception& e) {
-    return absl::InvalidArgumentError(StrCat("job row ", id, ": ", e.what()));
-  }
-  if (absl::Status s = Validate(record.spec); !s.ok()) return s;
-  return record;
+  Fields fields(json, "");
+  JobRecord record{.id = std::string(id),
+                   .queue = fields.Text("queue"),
+                   .pool = fields.Text("pool"),
+                   .team = fields.Text("team"),
+                   .accepted_ms = fields.Integer("accepted_ms"),
+                   .max_attempts = fields.Integer("max_attempts", 1),
+                   .spec = TakeSpec(fields)};
+  absl::Status status = fields.status();
+  status.Update(Validate(record.spec));
+  if (status.ok()) return record;
+  return absl::InvalidArgumentError(
+      StrCat("job row ", id, ": ", std::string(status.message())));
 }
 
 }  // namespace hyssopbarrow::fleet
--- a/Source/Model/job.h
+++ b/Source/Model/job.h
@@ -88,6 +88,10 @@
 
 nlohmann::json ToJson(const JobRecord& record);
 
+/// Reads and validates a job as the project's own callers hand it in.
+/// Errors: kInvalidArgument naming the first field that is wrong or unknown.
+absl::StatusOr<JobSpec> ParseJobSpec(const nlohmann::json& json);
+
 /// Errors: kInvalidArgument naming the field.
 absl::StatusOr<JobRecord> ParseJobRecord(std::string_view id,
                                          const nlohmann::json& json);
--- /dev/null
+++ b/Source/Standalone/fleet_stand_in.h
@@ -0,0 +1,73 @@
+#ifndef HYSSOPBARROW_STANDALONE_FLEET_STAND_IN_H_
+#define HYSSOPBARROW_STANDALONE_FLEET_STAND_IN_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Fleet/backend.h"
+#include "Http/event_loop.h"
+#include "Standalone/row_store.h"
+#include "Standalone/task_target.h"
+
+namespace hyssopbarrow::fleet {
+
+/// What an embedded fleet consists of.
+struct FleetSample {
+  Configuration configuration;
+  std::vector<Target> targets;
+
+  friend bool operator==(const FleetSample&, const FleetSample&) = default;
+};
+
+/// Stand-in for the store and the targets of a fleet, in memory. A task runs
+/// for the time its step estimates and ends `done`; one that lasts runs until
+/// it is stopped. It has no host provider: nothing is moved or maintained.
+class FleetStandIn : public Backend {
+ public:
+  FleetStandIn(EventLoop& loop, const FleetSample& sample);
+
+  void Read(const ReadRows& request,
+            std::function<void(StoreRows)> callback) override;
+  void Watch(const WatchRows& request,
+             std::function<void(StoreRows)> callback) override;
+  void Commit(const CommitRows& request,
+              std::function<void(StoreRows)> callback) override;
+  void Order(const TargetOrder& order,
+             std::function<void(OrderReply)> callback) override;
+  void Approve(const ApprovalRequest& request,
+               std::function<void(ApprovalReply)> callback) override;
+  void List(const ListHosts& request,
+            std::function<void(HostList)> callback) override;
+  void Order(const HostOrder& order,
+             std::function<void(HostResult)> callback) override;
+
+ private:
+  /// A request that waits for news, until its timer.
+  struct Waiting {
+    TimerId timer;
+    std::function<void()> answer;
+  };
+
+  StoreRows ReadTable(const ReadRows& request) const;
+  StoreRows ChangesAfter(const WatchRows& request) const;
+  std::int64_t ClockMs() const;
+  /// Keeps `answer` for `wait`, or until the list is answered.
+  void Keep(std::vector<Waiting>& list, Duration wait,
+            std::function<void()> answer);
+  void AnswerAll(std::vector<Waiting>& list);
+  void Started(const TargetOrder& order);
+
+  EventLoop& loop_;
+  Configuration configuration_;
+  std::map<std::string, TaskTarget> targets_;
+  RowStore store_;
+  std::vector<Waiting> watches_;
+  std::map<std::string, std::vector<Waiting>> holds_;  ///< By target.
+};
+
+}  // namespace hyssopbarrow::fleet
+
+#endif  // HYSSOPBARROW_STANDALONE_FLEET_STAND_IN_H_
--- a/Source/Standalone/sample.cc
+++ b/Source/Standalone/sample.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Fleet/job_api.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -16,8 +17,52 @@
           .address = address};
 }
 
+constexpr fleet::Resources kTargetCapacity = {.cpu_milli = 4000,
+                                              .memory_mb = 4096};
+constexpr std::int64_t kLatencyTargetMs = 1000;
+constexpr std::int64_t kMaxAttempts = 3;
+
+fleet::Configuration JobConfiguration(const Snapshot& snapshot) {
+  fleet::Configuration it{.version = 1};
+  for (const auto& [name, queue] : snapshot.queues) {
+    it.queues.push_back({.name = name,
+                         .path_prefix = fleet::JobsPath(name),
+                         .pool = queue.pool,
+                         .open = queue.open,
+                         .max_attempts = kMaxAttempts,
+                         .slack_factor = 1,
+                         .latency_target_ms = kLatencyTargetMs});
+  }
+  for (const auto& [name, pool] : snapshot.pools) {
+    it.pools[name] = {.name = name};
+  }
+  for (const auto& [name, team] : snapshot.teams) {
+    fleet::Team entry{.name = name, .weight = team.weight};
+    for (const auto& [key_name, key] : snapshot.keys) {
+      if (key.team == name) entry.keys.push_back(key.digest);
+    }
+    it.teams.push_back(std::move(entry));
+  }
+  return it;
+}
+
 }  // namespace
 
+fleet::FleetSample SampleFleet(const Snapshot& snapshot) {
+  fleet::FleetSample sample{.configuration = JobConfiguration(snapshot)};
+  for (const auto& [name, host] : snapshot.hosts) {
+    sample.targets.push_back({.id = name,
+                              .pool = host.pool,
+                              .address = host.address,
+                              .data_centre = host.data_centre,
+                              .host = name,
+                              .born = 1,
+                              .capacity = kTargetCapacity,
+                              .labels = {host.rack}});
+  }
+  return sample;
+}
+
 Snapshot SampleSnapshot(const std::vector<std::string>& addresses,
                         const std::string& data_centre) {
   Snapshot it;
--- a/Source/Standalone/sample.h
+++ b/Source/Standalone/sample.h
@@ -7,6 +7,7 @@
 
 #include "Model/row.h"
 #include "Model/snapshot.h"
+#include "Standalone/fleet_stand_in.h"
 
 namespace hyssopbarrow {
 
@@ -21,6 +22,10 @@
 Snapshot SampleSnapshot(const std::vector<std::string>& addresses,
                         const std::string& data_centre);
 
+/// The fleet for jobs that goes with `snapshot`: its teams, keys, queues and
+/// pools, and one target for each of its hosts.
+fleet::FleetSample SampleFleet(const Snapshot& snapshot);
+
 /// A transaction that puts all rows of `snapshot` into an empty table.
 Transaction LoadTransaction(const Snapshot& snapshot);
 
--- a/Tests/Control/command_test.cc
+++ b/Tests/Control/command_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
 #include "Daemon/entry_host_fixture.h"
@@ -70,6 +71,13 @@
   CHECK(it.Control({"completion", "fish"}) == ExitCode::kUsage);
 }
 
+TEST_CASE("Bash can read the completion script") {
+  EntryHostFixture it;
+  REQUIRE(it.Control({"completion", "bash"}) == ExitCode::kOk);
+  const TemporaryFile script(it.out.str());
+  CHECK(std::system(("bash -n " + script.name).c_str()) == 0);
+}
+
 TEST_CASE("Rows are printed as a table, as JSON and as names") {
   EntryHostFixture it;
   CHECK(it.Control({"list", "team"}) == ExitCode::kOk);
@@ -103,7 +111,8 @@
 TEST_CASE("The usage names every command") {
   const std::string text = UsageText();
   for (const char* it : {"list", "show", "set", "delete", "grant", "withdraw",
-                         "move", "apply", "report", "completion"}) {
+                         "move", "apply", "report", "submit", "status", "wait",
+                         "cancel", "fleet", "completion"}) {
     CHECK(text.find(it) != std::string::npos);
   }
 }
--- a/Tests/Daemon/entry_host_fixture.h
+++ b/Tests/Daemon/entry_host_fixture.h
@@ -93,9 +93,13 @@
     err.str("");
     AdminClient admin(loop, client, daemon->OperatorAddress(),
                       std::string(kSampleOperatorKey));
-    return RunCommand(
-        {.client = admin, .options = options, .out = out, .err = err},
-        arguments);
+    return RunCommand({.client = admin,
+                       .jobs = admin,
+                       .fleet = admin,
+                       .options = options,
+                       .out = out,
+                       .err = err},
+                      arguments);
   }
 
   EventLoop loop;
--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -48,14 +48,15 @@
   for (int n = 0; n < targets; ++n) {
     const std::string name = std::to_string(n);
     TargetHere target;
-    target.entry = {.id = StrCat("i-", name),
-                    .pool = "desk",
-                    .address = StrCat("10.0.0.", n + 1, ":80"),
-                    .data_centre = "a",
-                    .host = StrCat("m-", name),
-                    .born = kUnixBase,
-                    .capacity = {.cpu_milli = 16000, .memory_mb = 100'000},
-                    .labels = {"a", StrCat("r", n / 2)}};
+    target.tasks.entry = {
+        .id = StrCat("i-", name),
+        .pool = "desk",
+        .address = StrCat("10.0.0.", n + 1, ":80"),
+        .data_centre = "a",
+        .host = StrCat("m-", name),
+        .born = kUnixBase,
+        .capacity = {.cpu_milli = 16000, .memory_mb = 100'000},
+        .labels = {"a", StrCat("r", n / 2)}};
     targets_.push_back(std::move(target));
   }
   entries_.resize(At(entries));
@@ -67,6 +68,8 @@
           .unix_ms = kUnixBase + NowMs()};
 }
 
+std::int64_t World::TargetClockMs() const { return kTargetClockBase + NowMs(); }
+
 double World::Random() {
   return std::uniform_real_distribution<double>(0, 1)(rng_);
 }
@@ -116,7 +119,7 @@
 
 void World::CrashTarget(int n) {
   targets_[At(n)].dead = true;
-  targets_[At(n)].runs.clear();
+  targets_[At(n)].tasks.runs.clear();
   After(Duration(kUnlistedUs), [this, n] { targets_[At(n)].listed = false; });
 }
 
@@ -209,7 +212,7 @@
       Watch(n, entries_[At(n)].life, *watch, now_us_ + watch->wait.count());
     } else if (const auto* commit = std::get_if<CommitRows>(&effect)) {
       store(
-          commit->id, [this, it = *commit] { return Apply(it); }, true);
+          commit->id, [this, it = *commit] { return store_.Commit(it); }, true);
     } else if (const auto* order = std::get_if<TargetOrder>(&effect)) {
       Send(n, *order);
     } else if (const auto* list = std::get_if<ListHosts>(&effect)) {
@@ -246,9 +249,8 @@
 }
 
 StoreRows World::ReadTable(const ReadRows& request) const {
-  StoreRows out;
-  out.status = StoreStatus::kOk;
-  out.revision = revision_;
+  StoreRows out{.status = StoreStatus::kOk};
+  out.revision = store_.revision();
   if (request.table == Table::kConfiguration) {
     out.configuration = configuration_;
     for (const auto& [number, wave] : waves_) out.waves.push_back(wave);
@@ -256,17 +258,11 @@
   }
   if (request.table == Table::kTargets) {
     for (const TargetHere& it : targets_) {
-      if (it.listed) out.targets.push_back(it.entry);
+      if (it.listed) out.targets.push_back(it.tasks.entry);
     }
     return out;
   }
-  for (const auto& [ref, row] : rows_) {
-    const bool inside = ref.table == request.table &&
-                        ref.key >= request.first &&
-                        (request.end.empty() || ref.key < request.end);
-    if (inside) out.rows.push_back(row);
-  }
-  return out;
+  return store_.Read(request);
 }
 
 StoreRows World::ChangesAfter(const WatchRows& request) const {
@@ -277,19 +273,11 @@
     StoreRows out = ReadTable({.table = request.table});
     for (const TargetHere& it : targets_) {
       const bool gone = request.table == Table::kTargets && !it.listed;
-      if (gone) out.removed_targets.push_back(it.entry.id);
+      if (gone) out.removed_targets.push_back(it.tasks.entry.id);
     }
     return out;
   }
-  StoreRows out;
-  out.status = StoreStatus::kOk;
-  out.revision = revision_;
-  for (const auto& [ref, row] : changes_) {
-    const bool fresh =
-        ref.table == request.table && row.revision > request.revision;
-    if (fresh) out.rows.push_back(row);
-  }
-  return out;
+  return store_.ChangesAfter(request);
 }
 
 void World::Watch(int n, std::int64_t life, const WatchRows& request,
@@ -320,38 +308,10 @@
       Latency());
 }
 
-StoreRows World::Apply(const CommitRows& commit) {
-  StoreRows out;
-  for (const auto& [ref, wanted] : commit.conditions) {
-    auto it = rows_.find(ref);
-    const std::int64_t have = it == rows_.end() ? 0 : it->second.revision;
-    if (have == wanted) continue;
-    out.status = StoreStatus::kConflict;
-    for (const auto& [other, revision] : commit.conditions) {
-      auto row = rows_.find(other);
-      if (row != rows_.end()) out.rows.push_back(row->second);
-    }
-    return out;
-  }
-  ++revision_;
-  for (const auto& [ref, value] : commit.writes) {
-    const Row row{.key = ref.key, .value = value, .revision = revision_};
-    changes_.emplace_back(ref, row);
-    if (value.is_null()) {
-      rows_.erase(ref);
-    } else {
-      rows_[ref] = row;
-    }
-  }
-  out.status = StoreStatus::kOk;
-  out.revision = revision_;
-  return out;
-}
-
 void World::Send(int n, const TargetOrder& order) {
   const auto found = std::find_if(
       targets_.begin(), targets_.end(),
-      [&](const TargetHere& it) { return it.entry.id == order.target; });
+      [&](const TargetHere& it) { return it.tasks.entry.id == order.target; });
   const int target = static_cast<int>(found - targets_.begin());
   const auto answer = [this, id = order.id](const OrderReply& reply) {
     return [this, id, reply](Entry& entry, Effects& out) {
@@ -408,68 +368,41 @@
 OrderReply World::Carry(int target, const TargetOrder& order) {
   TargetHere& here = targets_[At(target)];
   CheckLease(target);
-  OrderReply reply{.clock_ms = kTargetClockBase + NowMs(),
-                   .born = here.entry.born};
-  if (order.token < here.token) {
-    reply.result = OrderResult::kFenced;
-    return reply;
-  }
-  here.token = order.token;
-  const std::int64_t clock = reply.clock_ms;
-  if (order.lease_until_ms.has_value()) {
-    here.lease_until_ms = std::max(here.lease_until_ms, *order.lease_until_ms);
-  }
-  reply.result = OrderResult::kDone;
-  if (order.kind == OrderKind::kHold) {
-    for (const ListedEnd& it : here.ends) {
-      const bool told =
-          it.number <= order.ends_seen && it.number > here.void_up_to;
-      if (told && it.kind == EndKind::kDone) acknowledged_.insert(it.task);
-      if (told && it.kind == EndKind::kFailed) {
-        noted_failures_[it.task].insert(it.run);
-      }
-    }
-    std::erase_if(here.ends, [&](const ListedEnd& it) {
-      return it.number <= order.ends_seen;
-    });
-    reply.ended = here.ends;
-    for (const auto& [name, run] : here.runs) {
-      reply.running.push_back({.task = name, .run = run.run, .percent = 100});
-    }
-    return reply;
+  const bool fenced = order.token < here.tasks.token;
+  const bool had = here.tasks.runs.count(order.task) > 0;
+  const bool holds = order.kind == OrderKind::kHold;
+  if (!fenced && holds) NoteEnds(target, order);
+  const std::int64_t next_end = here.tasks.next_end;
+  OrderReply reply = fleet::Carry(here.tasks, order, TargetClockMs());
+  const bool started = order.kind == OrderKind::kStart && !had &&
+                       reply.result == OrderResult::kDone;
+  if (started) Started(target, order);
+  if (here.tasks.next_end != next_end) {
+    CheckStop(order.task);
+    Ended(target);
   }
-  if (order.kind == OrderKind::kStop) {
-    std::int64_t& ended = here.ended_runs[order.task];
-    ended = std::max(ended, order.run);
-    auto run = here.runs.find(order.task);
-    if (run != here.runs.end() && run->second.run <= order.run) {
-      CheckStop(order.task);
-      End(target, order.task, run->second.number, EndKind::kStopped);
+  return reply;
+}
+
+void World::NoteEnds(int target, const TargetOrder& order) {
+  const TargetHere& here = targets_[At(target)];
+  for (const ListedEnd& it : here.tasks.ends) {
+    const bool told =
+        it.number <= order.ends_seen && it.number > here.void_up_to;
+    if (told && it.kind == EndKind::kDone) acknowledged_.insert(it.task);
+    if (told && it.kind == EndKind::kFailed) {
+      noted_failures_[it.task].insert(it.run);
     }
-    return reply;
-  }
-  if (order.kind != OrderKind::kStart) return reply;
-  auto run = here.runs.find(order.task);
-  if (run != here.runs.end() && run->second.run == order.run) return reply;
-  if (here.ended_runs[order.task] >= order.run || run != here.runs.end()) {
-    reply.result = OrderResult::kOldRun;
-    return reply;
-  }
-  if (order.lease_until_ms.value_or(0) < clock) {
-    reply.result = OrderResult::kLeaseOver;
-    return reply;
   }
-  Start(target, order);
-  return reply;
 }
 
 void World::CheckStart(int target, const TargetOrder& order) {
   const TaskName& name = order.task;
   for (const TargetHere& it : targets_) {
-    const bool running = !it.dead && it.runs.count(name) > 0;
-    if (running) {
-      Breach(StrCat(ToString(name), " runs twice at once, on ", it.entry.id,
-                    " and i-", target));
+    const bool elsewhere = &it != &targets_[At(target)];
+    if (elsewhere && !it.dead && it.tasks.runs.count(name) > 0) {
+      Breach(StrCat(ToString(name), " runs twice at once, on ",
+                    it.tasks.entry.id, " and i-", target));
     }
   }
   if (acknowledged_.count(name) > 0) {
@@ -504,7 +437,7 @@
     const TaskName other{name.job, name.occurrence, name.step, n};
     const bool works = std::any_of(
         targets_.begin(), targets_.end(), [&](const TargetHere& it) {
-          return !it.dead && it.runs.count(other) > 0;
+          return !it.dead && it.tasks.runs.count(other) > 0;
         });
     away += n != name.index && !works ? 1 : 0;
   }
@@ -514,11 +447,8 @@
   }
 }
 
-void World::Start(int target, const TargetOrder& order) {
+void World::Started(int target, const TargetOrder& order) {
   CheckStart(target, order);
-  TargetHere& here = targets_[At(target)];
-  const std::int64_t number = next_number_++;
-  here.runs[order.task] = {.run = order.run, .number = number};
   ++starts_[order.task];
   auto spec = specs_.find(order.task.job);
   const bool lasts =
@@ -529,43 +459,31 @@
       hopeless.count(order.task.job) > 0 ? EndKind::kFailed : EndKind::kDone;
   const auto time = static_cast<std::int64_t>(
       static_cast<double>(task_time.count()) * (0.5 + Random()));
-  After(Duration(time), [this, target, name = order.task, number, kind] {
-    if (!targets_[At(target)].dead) End(target, name, number, kind);
-  });
+  After(Duration(time),
+        [this, target, task = order.task, run = order.run, kind] {
+          TargetHere& here = targets_[At(target)];
+          if (here.dead || !EndRun(here.tasks, task, run, kind)) return;
+          if (kind == EndKind::kDone) done_.insert(task);
+          if (kind == EndKind::kFailed) {
+            ++failures_[task];
+            failed_runs_[task].insert(run);
+          }
+          Ended(target);
+        });
 }
 
-void World::End(int target, const TaskName& name, std::int64_t number,
-                EndKind kind) {
-  TargetHere& here = targets_[At(target)];
-  auto run = here.runs.find(name);
-  if (run == here.runs.end() || run->second.number != number) return;
-  const std::int64_t run_number = run->second.run;
-  here.runs.erase(run);
-  std::int64_t& ended = here.ended_runs[name];
-  ended = std::max(ended, run_number);
-  here.ends.push_back({.number = here.next_end++,
-                       .task = name,
-                       .run = run_number,
-                       .kind = kind});
-  if (kind == EndKind::kDone) done_.insert(name);
-  if (kind == EndKind::kFailed) {
-    ++failures_[name];
-    failed_runs_[name].insert(run_number);
-  }
+void World::Ended(int target) {
   std::vector<std::function<void()>> waiting;
-  waiting.swap(here.waiting);
+  waiting.swap(targets_[At(target)].waiting);
   for (const auto& it : waiting) it();
 }
 
 void World::CheckLease(int target) {
   TargetHere& here = targets_[At(target)];
-  const std::int64_t clock = kTargetClockBase + NowMs();
-  if (clock <= here.lease_until_ms) return;
-  here.void_up_to = here.next_end - 1;
-  while (!here.runs.empty()) {
-    const auto run = here.runs.begin();
-    End(target, run->first, run->second.number, EndKind::kLapsed);
-  }
+  const std::int64_t listed = here.tasks.next_end - 1;
+  if (!EndLapsedRuns(here.tasks, TargetClockMs())) return;
+  here.void_up_to = listed;
+  if (here.tasks.next_end - 1 != listed) Ended(target);
 }
 
 void World::Submit(const std::string& id, JobSpec spec) {
@@ -654,12 +572,12 @@
 HostList World::Hosts() const {
   HostList list{.answered = true};
   for (const TargetHere& it : targets_) {
-    list.hosts.push_back({.name = it.entry.host,
-                          .pool = it.entry.pool,
+    list.hosts.push_back({.name = it.tasks.entry.host,
+                          .pool = it.tasks.entry.pool,
                           .state = it.dead ? HostState::kDown : HostState::kUp,
                           .data_centre = "a",
-                          .labels = it.entry.labels,
-                          .target = it.dead ? "" : it.entry.id});
+                          .labels = it.tasks.entry.labels,
+                          .target = it.dead ? "" : it.tasks.entry.id});
   }
   return list;
 }
@@ -667,11 +585,11 @@
 HostResult World::CarryHost(const HostOrder& order) {
   for (int n = 0; n < static_cast<int>(targets_.size()); ++n) {
     TargetHere& here = targets_[At(n)];
-    if (here.entry.host != order.host || here.dead) continue;
+    if (here.tasks.entry.host != order.host || here.dead) continue;
     if (order.wave != 0 && serviced_.count(order.host) > 0) {
       return HostResult::kDone;
     }
-    for (const auto& [name, run] : here.runs) {
+    for (const auto& [name, run] : here.tasks.runs) {
       Breach(StrCat(ToString(name), " was at work on a host taken out"));
     }
     if (order.wave != 0) {
@@ -682,13 +600,13 @@
       serviced_.insert(order.host);
     }
     here.dead = true;
-    here.runs.clear();
+    here.tasks.runs.clear();
     After(milliseconds(2000), [this, n, wave = order.wave] {
       if (wave != 0) --wave_out_;
       TargetHere fresh;
-      fresh.entry = targets_[At(n)].entry;
-      fresh.entry.id += "+";
-      fresh.entry.born += 1000 + NowMs();
+      fresh.tasks.entry = targets_[At(n)].tasks.entry;
+      fresh.tasks.entry.id += "+";
+      fresh.tasks.entry.born += 1000 + NowMs();
       targets_[At(n)] = std::move(fresh);
     });
     return HostResult::kDone;
@@ -725,8 +643,8 @@
 }
 
 bool World::WaveShownCompleted(std::int64_t number) const {
-  auto it = rows_.find({Table::kWaves, StrCat("wave/", number)});
-  return it != rows_.end() && it->second.value.value("completed", false);
+  const Row* row = store_.Find({Table::kWaves, StrCat("wave/", number)});
+  return row != nullptr && row->value.value("completed", false);
 }
 
 }  // namespace hyssopbarrow::fleet
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "Policy/entry.h"
+#include "Standalone/row_store.h"
+#include "Standalone/task_target.h"
 
 namespace hyssopbarrow::fleet {
 
@@ -78,30 +80,20 @@
     std::int64_t next_tick = 0;
   };
 
-  struct RunHere {
-    std::int64_t run = 0;
-    std::int64_t number = 0;  ///< Distinguishes a run from a later one.
-  };
-
   struct TargetHere {
-    Target entry;
+    TaskTarget tasks;
     bool dead = false;
     bool listed = true;
-    std::int64_t token = 0;
-    std::int64_t lease_until_ms = 0;
-    std::map<TaskName, RunHere> runs;
-    std::map<TaskName, std::int64_t> ended_runs;
-    std::vector<ListedEnd> ends;
     /// Ends up to here were listed before a lease ran out: acknowledging them
     /// later does not count.
     std::int64_t void_up_to = 0;
-    std::int64_t next_end = 1;
     /// Holds that wait for an end.
     std::vector<std::function<void()>> waiting;
   };
 
   static std::size_t At(int n) { return static_cast<std::size_t>(n); }
   std::int64_t NowMs() const { return now_us_ / 1000; }
+  std::int64_t TargetClockMs() const;
   Moment MomentNow() const;
   double Random();
   std::int64_t Latency();
@@ -113,13 +105,13 @@
                std::int64_t delay_us);
   StoreRows ReadTable(const ReadRows& request) const;
   StoreRows ChangesAfter(const WatchRows& request) const;
-  StoreRows Apply(const CommitRows& commit);
   void Watch(int n, std::int64_t life, const WatchRows& request,
              std::int64_t until_us);
   void Send(int n, const TargetOrder& order);
   OrderReply Carry(int target, const TargetOrder& order);
-  void Start(int target, const TargetOrder& order);
-  void End(int target, const TaskName& name, std::int64_t number, EndKind kind);
+  void NoteEnds(int target, const TargetOrder& order);
+  void Started(int target, const TargetOrder& order);
+  void Ended(int target);
   void CheckLease(int target);
   void CheckStart(int target, const TargetOrder& order);
   void CheckStop(const TaskName& name);
@@ -134,9 +126,7 @@
   std::multimap<std::int64_t, std::function<void()>> events_;
   std::vector<EntryHost> entries_;
   std::vector<TargetHere> targets_;
-  std::map<RowRef, Row> rows_;
-  std::vector<std::pair<RowRef, Row>> changes_;
-  std::int64_t revision_ = 0;
+  RowStore store_;
   bool store_down_ = false;
   Configuration configuration_;
   std::map<std::int64_t, Wave> waves_;
@@ -153,7 +143,6 @@
   std::vector<std::pair<TaskName, std::set<std::int64_t>>> late_starts_;
   std::set<TaskName> done_;          ///< Some run has ended `done`.
   std::set<TaskName> acknowledged_;  ///< And a hold has acknowledged it.
-  std::int64_t next_number_ = 1;
   std::int64_t wave_out_ = 0;
   std::set<std::string> serviced_;
 };
