Claims: Read a doubtful claim back soon and more than once

Cause: a claim whose reply was lost waited 1 s for it and 2 s for one read; the loss of that read too ended the call as not run.

Now the write is in doubt after 250 ms, and the row is read up to four times, each read waiting twice as long as the one before.

--- a/Source/Policy/claims.cc
+++ b/Source/Policy/claims.cc
@@ -7,8 +7,11 @@
 namespace hyssopbarrow {
 namespace {
 
-constexpr Duration kWriteTimeout = std::chrono::milliseconds(1000);
-constexpr Duration kReadTimeout = std::chrono::milliseconds(2000);
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(250);
+/// Of the first read; each further one waits twice as long, so that a lost
+/// reply costs little and a slow table is still heard.
+constexpr Duration kReadTimeout = std::chrono::milliseconds(250);
+constexpr int kMaxReads = 4;  ///< 3.75 s in all.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(1000);
 
 /// State that the next write puts into the row.
@@ -84,7 +87,8 @@
 
   void TakeRead(const std::string& key, const StoreReply& reply) {
     ForEach({key}, [&](Claim& it) {
-      if (reply.status != StoreStatus::kOk) return Fail(it);
+      if (reply.status != StoreStatus::kOk) return ReadAgain(it);
+      it.reads = 0;
       Judge(it, FindRow(reply.rows, key));
     });
   }
@@ -177,6 +181,13 @@
     state_.unread.push_back(claim.key);
   }
 
+  void ReadAgain(Claim& claim) {
+    ++claim.reads;
+    if (claim.reads < kMaxReads) return ReadBack(claim);
+    claim.reads = 0;
+    Fail(claim);
+  }
+
   void Fail(Claim& claim) {
     if (claim.stage == ClaimStage::kClaiming) {
       verdicts_.push_back(UnavailableVerdict(claim.call));
@@ -251,7 +262,10 @@
     const std::string key = state.unread.front();
     state.unread.pop_front();
     state.reads.emplace(id, key);
-    out.store_requests.push_back({id, StoreRead{key}, now + kReadTimeout});
+    auto claim = state.claims.find(key);
+    const int reads = claim == state.claims.end() ? 0 : claim->second.reads;
+    out.store_requests.push_back(
+        {id, StoreRead{key}, now + kReadTimeout * (1 << reads)});
   }
 }
 
--- a/Source/Policy/claims.h
+++ b/Source/Policy/claims.h
@@ -55,6 +55,7 @@
   ClaimStage written = ClaimStage::kClaiming;  ///< Stage of the last write.
   std::int64_t revision = 0;  ///< Of the row that the next write replaces.
   bool uncertain = false;     ///< A write may take effect without a reply.
+  int reads = 0;              ///< Without reply since the last write.
   ClaimRowState outcome = ClaimRowState::kClaimed;
   std::optional<RecordedAnswer> answer;
 };
--- a/Tests/Claims/claims_test.cc
+++ b/Tests/Claims/claims_test.cc
@@ -75,6 +75,21 @@
   CHECK(second.verdicts[2].granted);
 }
 
+TEST_CASE("A claim whose replies are lost is read back until one arrives") {
+  Table table;
+  Holder holder{.name = "a", .table = table};
+  holder.Begin(1, "refund");
+  const StoreRequest write = holder.Flush().at(0);
+  table.Commit(std::get<Transaction>(write.operation));
+  holder.Reply(write, kLost);
+  for (int lost = 0; lost < 3; ++lost)
+    holder.Reply(holder.Flush().at(0), kLost);
+  CHECK(holder.verdicts.empty());
+  holder.Settle();
+  REQUIRE(holder.verdicts.size() == 1);
+  CHECK(holder.verdicts[0].granted);
+}
+
 TEST_CASE("A claim that arrives after its release has no effect") {
   Table table;
   Holder first{.name = "a", .table = table};
