Owner: Look at all targets in rounds, plan before commits

Each event walked all 350 targets and their runs, looked up the job of every run for the pace of fillers, and placed tasks anew after each end; NextDue walked all targets twice more.

Now targets are walked in rounds, at most every 2 ms, and news bring the next round forward; pace is looked at every 100 ms; tasks are placed when a commit may follow, as nothing that is planned leaves before.

Conclusion: the cost of an event no longer grows with the fleet; what is left is the round itself.

--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -67,6 +67,12 @@
   AdvanceCalls(entry, context);
 }
 
+/// After an event that may have changed what the owner knows of a target.
+void AdvanceAfterNews(Entry& entry, Context& context) {
+  if (entry.owner.has_value()) Touch(*entry.owner, context.at.now);
+  AdvanceAll(entry, context);
+}
+
 }  // namespace
 
 Context ContextOf(Entry& entry, const Moment& at, Effects& out) {
@@ -104,7 +110,7 @@
              !TakeCommitReply(*entry.owner, id, reply, context)) {
     TakeOwnersTables(entry, id, reply, context);
   }
-  AdvanceAll(entry, context);
+  AdvanceAfterNews(entry, context);
 }
 
 void OnOrderReply(Entry& entry, std::int64_t id, const OrderReply& reply,
@@ -112,7 +118,7 @@
   if (!entry.owner.has_value()) return;
   Context context = ContextOf(entry, at, out);
   TakeOrderReply(*entry.owner, id, reply, context);
-  AdvanceAll(entry, context);
+  AdvanceAfterNews(entry, context);
 }
 
 void OnApproval(Entry& entry, std::int64_t id, const ApprovalReply& reply,
@@ -120,7 +126,7 @@
   if (!entry.owner.has_value()) return;
   Context context = ContextOf(entry, at, out);
   TakeApproval(*entry.owner, id, reply, context);
-  AdvanceAll(entry, context);
+  AdvanceAfterNews(entry, context);
 }
 
 void OnHosts(Entry& entry, std::int64_t id, const HostList& list,
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -17,6 +17,10 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kSweepGap = milliseconds(250);
+/// Between two rounds over all targets: changes that come together share one,
+/// so that the cost of an event does not grow with the fleet.
+constexpr Duration kRoundGap = milliseconds(2);
+constexpr Duration kLongestRoundGap = milliseconds(50);
 constexpr std::int64_t kMaxOpenOccurrences = 64;
 constexpr std::int64_t kMaxAgeMs = 600'000;  ///< Clocks may be wrong.
 
@@ -151,6 +155,24 @@
   }
 }
 
+/// Looks at every target and finds out when to do so again.
+void RunRound(Owner& owner, Context& context) {
+  const Instant now = context.at.now;
+  owner.last_round = now;
+  Instant next = now + kLongestRoundGap;
+  for (auto& [id, target] : owner.targets) {
+    AdvanceTarget(owner, target, context);
+    if (owner.jobs_loaded && HoldIsDue(target)) {
+      next = std::min(next, target.next_hold);
+    }
+  }
+  owner.next_round = std::max(next, now + kRoundGap);
+}
+
+bool MayPlan(const Owner& owner, Instant now) {
+  return owner.plan_due && owner.ready && MayOrder(owner, now);
+}
+
 }  // namespace
 
 bool MayOrder(const Owner& owner, Instant now) {
@@ -267,6 +289,11 @@
   }
 }
 
+void Touch(Owner& owner, Instant now) {
+  owner.next_round =
+      std::min(owner.next_round, std::max(now, owner.last_round + kRoundGap));
+}
+
 void Advance(Owner& owner, Context& context) {
   const Instant now = context.at.now;
   const bool sweep = owner.next_sweep <= now;
@@ -285,28 +312,24 @@
   if (owner.ready && MayOrder(owner, now)) {
     AdvanceSteward(owner, context);
     AdvanceSharing(owner, context);
-    if (owner.plan_due) {
-      owner.plan_due = false;
-      PlaceTasks(owner, context);
-    }
   }
-  for (auto& [id, target] : owner.targets) {
-    AdvanceTarget(owner, target, context);
+  // What is planned waits for the commit, so planning any earlier only decides
+  // on less.
+  if (MayPlan(owner, now) && MayCommit(owner, now)) {
+    owner.plan_due = false;
+    PlaceTasks(owner, context);
   }
+  if (owner.next_round <= now) RunRound(owner, context);
   CommitChanges(owner, context, sweep);
 }
 
 Instant NextDue(const Owner& owner, Instant now) {
-  Instant due = owner.next_sweep;
-  const bool changes = !owner.changed_jobs.empty();
+  Instant due = std::min(owner.next_sweep, owner.next_round);
+  const bool changes = !owner.changed_jobs.empty() || MayPlan(owner, now);
   if (!owner.commit.has_value() && changes) {
-    due = std::min(due, std::max(owner.next_commit, now));
-  }
-  for (const auto& [id, target] : owner.targets) {
-    const bool hold = owner.jobs_loaded && HoldIsDue(target);
-    if (hold) due = std::min(due, std::max(target.next_hold, now));
+    due = std::min(due, owner.next_commit);
   }
-  return due;
+  return std::max(due, now);
 }
 
 std::int64_t CountWaiting(const Owner& owner, std::string_view queue) {
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -204,6 +204,9 @@
   Instant next_commit{};
   Duration commit_timeout{};  ///< Follows how long commits take.
   Instant next_sweep{};
+  Instant next_round{};  ///< When all targets are looked at again.
+  Instant last_round{};
+  Instant next_sharing{};  ///< When the pace of filling tasks is looked at.
   bool plan_due = true;
   std::int64_t starts = 0;
   std::int64_t ends = 0;
@@ -233,6 +236,9 @@
 bool TakeHostReply(Owner& owner, std::int64_t id, HostResult result,
                    Context& context);
 
+/// Brings the next round over the targets forward, because something changed.
+void Touch(Owner& owner, Instant now);
+
 /// Does all that is due: leases, holds, retries, starts, commits.
 void Advance(Owner& owner, Context& context);
 
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -74,11 +74,6 @@
   }
 }
 
-bool MayCommit(const Owner& owner, Instant now) {
-  return !owner.commit.has_value() && owner.next_commit <= now &&
-         owner.progress_loaded;
-}
-
 void CommitWaves(Owner& owner, OpenCommit& open, CommitRows& commit) {
   for (auto& [number, view] : owner.steward.waves) {
     if (view.stored) continue;
@@ -128,6 +123,11 @@
 
 }  // namespace
 
+bool MayCommit(const Owner& owner, Instant now) {
+  return !owner.commit.has_value() && owner.next_commit <= now &&
+         owner.progress_loaded;
+}
+
 void CommitChanges(Owner& owner, Context& context, bool sweep) {
   if (!MayCommit(owner, context.at.now)) return;
   OpenCommit open;
--- a/Source/Policy/owner_commits.h
+++ b/Source/Policy/owner_commits.h
@@ -5,6 +5,9 @@
 
 namespace hyssopbarrow::fleet {
 
+/// True if no commit is under way and the next one may be sent.
+bool MayCommit(const Owner& owner, Instant now);
+
 /// Commits what has changed, unless a commit is under way. With `sweep`, rows
 /// of jobs that nobody may ask for any more are removed too.
 void CommitChanges(Owner& owner, Context& context, bool sweep);
--- a/Source/Policy/sharing.cc
+++ b/Source/Policy/sharing.cc
@@ -11,6 +11,8 @@
 /// Figures of targets cover the last half second; a change of pace takes a
 /// tenth of one to show.
 constexpr Duration kGap = std::chrono::milliseconds(500);
+/// Between two looks at all targets; a fifth of the gap between two changes.
+constexpr Duration kLookGap = std::chrono::milliseconds(100);
 /// Parts of the bound above which filling tasks slow down, and below which
 /// they may do more.
 constexpr double kSlowAbove = 0.85;
@@ -48,6 +50,8 @@
 }  // namespace
 
 void AdvanceSharing(Owner& owner, Context& context) {
+  if (owner.next_sharing > context.at.now) return;
+  owner.next_sharing = context.at.now + kLookGap;
   for (auto& [id, target] : owner.targets) {
     if (target.next_pace > context.at.now || target.missed > 0) continue;
     std::vector<TaskName> fillers;
--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -1,6 +1,7 @@
 #include "Fleet/world.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "Model/text.h"
@@ -162,9 +163,13 @@
     return;
   }
   Effects effects;
+  const auto began = std::chrono::steady_clock::now();
   event(*host.core, effects);
   const Moment at = MomentNow();
   const Duration wait = NextTick(*host.core, at.now) - at.now;
+  spent += std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now() - began);
+  ++events;
   host.next_tick = now_us_ + std::max<std::int64_t>(1000, wait.count());
   Execute(n, effects);
 }
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -69,6 +69,8 @@
   std::set<std::string> hopeless;  ///< Jobs whose tasks fail everywhere.
   Duration task_time = std::chrono::milliseconds(400);
   std::vector<std::string> breaches;
+  std::int64_t events = 0;  ///< Of all entry hosts.
+  Duration spent{};         ///< Processor time of all decisions.
 
  private:
   struct EntryHost {
