Steward: Empty hosts only while nobody else may

An owner now stops tasks for upkeep and moves only while its lease is good. A successor begins once the longest stop and one order's way have passed.

Also: a host claims a free or lapsed ownership on its ticks, not only when a watch of the rows returns, so that a takeover is not up to 0.5 s late; only while the store has answered within 520 ms, as before.

Ruled out: a lost or late order (all were answered); processor time (the owner used 0.1 of a core).

--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -55,6 +55,7 @@
   bool released = true;  ///< Nobody holds the lease.
   /// Since then the lease is known not to have been renewed.
   Instant unchanged_since{};
+  Instant heard_at{};  ///< When the store last answered about the rows.
 
   std::int64_t open_claim = 0;
   Instant claim_sent{};
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -21,6 +21,9 @@
 /// An owner counts its lease shorter than the others do.
 constexpr Duration kLeaseMargin = milliseconds(100);
 constexpr Duration kClaimRetry = milliseconds(300);
+/// A watch of the rows waits 500 ms; a store that is silent for longer may be
+/// away from the owner as well.
+constexpr Duration kHeardWithin = milliseconds(520);
 
 RowRef OwnerRow(std::string_view key) {
   return {Table::kOwner, std::string(key)};
@@ -174,6 +177,22 @@
   ReleaseOwnership(entry, context);
 }
 
+/// Claims the ownership if it is free or has not been renewed in time. A claim
+/// on what this host does not know yet fails, as it names the lease's row.
+void ClaimIfFree(Entry& entry, Context& context) {
+  Ownership& it = entry.ownership;
+  const Instant now = context.at.now;
+  const bool idle = !entry.owner.has_value() && !entry.stopping && it.known &&
+                    it.open_claim == 0 && it.next_claim <= now;
+  if (!idle || now - it.heard_at > kHeardWithin) return;
+  const Duration unchanged = now - it.unchanged_since;
+  const bool unclaimed = it.epoch_revision == 0 ||
+                         IsPastLife(entry, it.holder) ||
+                         (it.released && unchanged >= WeakerDelay(entry));
+  const bool lapsed = unchanged >= kTakeoverAfter + ClaimDelay(entry);
+  if (unclaimed || lapsed) SendClaim(entry, context);
+}
+
 }  // namespace
 
 void AdvanceOwnership(Entry& entry, Context& context) {
@@ -186,6 +205,7 @@
     if (due && !entry.stopping) SendRenewal(entry, false, context);
   }
   AdvanceCandidacy(entry, context);
+  ClaimIfFree(entry, context);
 }
 
 void TakeOwnershipRows(Entry& entry, const StoreRows& reply, bool heard,
@@ -198,6 +218,7 @@
   }
   bool renewed = !it.known;
   it.known = true;
+  it.heard_at = now;
   for (const Row& row : reply.rows) {
     if (!row.value.is_object()) continue;
     if (TakeCandidateRow(entry, row)) continue;
@@ -226,13 +247,6 @@
   }
   if (renewed) it.unchanged_since = now;
   if (entry.owner.has_value()) GiveWay(entry, context);
-  if (entry.owner.has_value() || entry.stopping || it.open_claim != 0) return;
-  const Duration unchanged = now - it.unchanged_since;
-  const bool unclaimed = it.epoch_revision == 0 ||
-                         IsPastLife(entry, it.holder) ||
-                         (it.released && unchanged >= WeakerDelay(entry));
-  const bool lapsed = unchanged >= kTakeoverAfter + ClaimDelay(entry);
-  if ((unclaimed || lapsed) && it.next_claim <= now) SendClaim(entry, context);
 }
 
 bool TakeOwnershipReply(Entry& entry, std::int64_t id, const StoreRows& reply,
--- a/Source/Policy/steward_plan.h
+++ b/Source/Policy/steward_plan.h
@@ -32,6 +32,9 @@
   /// Stops placing tasks on a host so that it runs empty.
   void Reserve(HostView& host, Duty duty);
   bool IsAway(const TaskName& name, const Task& task) const;
+  /// True if nobody else may be stopping tasks: this owner's lease is good,
+  /// and what the owner before has stopped has ended.
+  bool MayEvict() const;
   /// Stops lasting tasks on a reserved target as far as their steps allow.
   void Evict(TargetView& target);
   /// An earlier owner may have ordered a host just before. Two owners must
--- a/Source/Policy/steward_waves.cc
+++ b/Source/Policy/steward_waves.cc
@@ -17,6 +17,8 @@
 constexpr double kPoolPart = 0.25;
 /// Emptying a host takes about as long as a task runs.
 constexpr Duration kEmptying = milliseconds(2500);
+/// An order that the owner before has sent arrives or is given up by then.
+constexpr Duration kOrderOnWay = milliseconds(700);
 /// A wave is in a hurry once so much of its time is needed at the least.
 constexpr double kHurry = 0.6;
 /// A host counts as little used below this part of its capacity.
@@ -39,7 +41,14 @@
   return true;
 }
 
+bool Plan::MayEvict() const {
+  const bool first = owner_.epoch <= 1;
+  return now() < owner_.steward_until &&
+         (first || now() >= owner_.since + context_.terms.stop + kOrderOnWay);
+}
+
 void Plan::Evict(TargetView& target) {
+  if (!MayEvict()) return;
   std::vector<TaskName> stop;
   std::set<std::pair<std::string, std::int64_t>> touched;
   for (const auto& [name, run] : target.runs) {
--- a/Tests/Fleet/world.cc
+++ b/Tests/Fleet/world.cc
@@ -378,6 +378,13 @@
   const bool had = here.tasks.runs.count(order.task) > 0;
   const bool holds = order.kind == OrderKind::kHold;
   if (!fenced && holds) NoteEnds(target, order);
+  if (!fenced && order.kind == OrderKind::kStop && had &&
+      stop_time > Duration::zero()) {
+    StopLater(target, order);
+    TargetOrder look = order;
+    look.run = 0;
+    return fleet::Carry(here.tasks, look, TargetClockMs());
+  }
   const std::int64_t next_end = here.tasks.next_end;
   OrderReply reply = fleet::Carry(here.tasks, order, TargetClockMs());
   const bool started = order.kind == OrderKind::kStart && !had &&
@@ -390,6 +397,18 @@
   return reply;
 }
 
+void World::StopLater(int target, const TargetOrder& order) {
+  TargetHere& here = targets_[At(target)];
+  const std::int64_t run = here.tasks.runs.at(order.task);
+  if (run > order.run || !here.stopping.insert(order.task).second) return;
+  CheckStop(order.task);
+  After(stop_time, [this, target, task = order.task, run] {
+    TargetHere& later = targets_[At(target)];
+    later.stopping.erase(task);
+    if (EndRun(later.tasks, task, run, EndKind::kStopped)) Ended(target);
+  });
+}
+
 void World::NoteEnds(int target, const TargetOrder& order) {
   const TargetHere& here = targets_[At(target)];
   for (const ListedEnd& it : here.tasks.ends) {
@@ -443,7 +462,8 @@
     const TaskName other{name.job, name.occurrence, name.step, n};
     const bool works = std::any_of(
         targets_.begin(), targets_.end(), [&](const TargetHere& it) {
-          return !it.dead && it.tasks.runs.count(other) > 0;
+          return !it.dead && it.tasks.runs.count(other) > 0 &&
+                 it.stopping.count(other) == 0;
         });
     away += n != name.index && !works ? 1 : 0;
   }
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -71,6 +71,7 @@
   Trouble trouble;
   std::set<std::string> hopeless;  ///< Jobs whose tasks fail everywhere.
   Duration task_time = std::chrono::milliseconds(400);
+  Duration stop_time{};  ///< A target lists a run for so long after a stop.
   std::vector<std::string> breaches;
   std::int64_t events = 0;  ///< Of all entry hosts.
   Duration spent{};         ///< Processor time of all decisions.
@@ -87,6 +88,7 @@
 
   struct TargetHere {
     TaskTarget tasks;
+    std::set<TaskName> stopping;
     bool dead = false;
     bool listed = true;
     /// Ends up to here were listed before a lease ran out: acknowledging them
@@ -114,6 +116,8 @@
              std::int64_t until_us);
   void Send(int n, const TargetOrder& order);
   OrderReply Carry(int target, const TargetOrder& order);
+  /// Ends a run some time after the order to stop it.
+  void StopLater(int target, const TargetOrder& order);
   void NoteEnds(int target, const TargetOrder& order);
   void Started(int target, const TargetOrder& order);
   void Ended(int target);
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -283,6 +283,31 @@
   }
 }
 
+TEST_CASE("two owners in turn do not empty hosts beyond what a step may miss") {
+  const auto seed = GENERATE(range<std::uint64_t>(40, 60));
+  World world(seed, 3, 12);
+  world.stop_time = milliseconds(800);
+  JobSpec spec = SimpleJob(6, false);
+  spec.steps[0].lasts = true;
+  spec.steps[0].may_miss = 1;
+  world.Run(seconds(1));
+  for (int n = 0; n < 6; ++n) world.Submit(JobId(n), spec);
+  world.Run(seconds(2));
+  Wave wave{.number = 1, .duration_ms = 20'000, .limit = 4};
+  for (int n = 0; n < 10; ++n) wave.hosts.push_back(StrCat("m-", n));
+  world.AddWave(wave);
+  // The owner goes on without the store while another one takes over.
+  world.After(milliseconds(100 * (seed % 20)), [&] {
+    const int owner = world.OwnerIndex();
+    world.CutFromStore(owner, true);
+    world.After(seconds(8), [&, owner] { world.CutFromStore(owner, false); });
+  });
+  world.Run(seconds(30));
+  CAPTURE(seed);
+  CHECK(world.WaveShownCompleted(1));
+  ExpectNoBreach(world);
+}
+
 TEST_CASE("the strongest host owns the fleet whenever it is there") {
   World world(GENERATE(1U, 2U, 3U, 4U), 4, 4);
   world.cpu_milli = {120, 120, 500, 120};
@@ -359,10 +384,12 @@
   ExpectNoBreach(world);
 }
 
-TEST_CASE("a lasting task on a target that is not heard counts as away") {
-  const auto missed = GENERATE(0, 1);
+/// An owner of two lasting tasks, one a target, of which one may be away; the
+/// host of the first is due for upkeep.
+Owner OwnerOfTwo() {
   Owner owner;
   owner.may_order_until = Instant(seconds(99));
+  owner.steward_until = owner.may_order_until;
   JobSpec spec = SimpleJob(2, false);
   spec.steps[0].lasts = true;
   spec.steps[0].may_miss = 1;
@@ -381,14 +408,42 @@
     Host& host = owner.steward.hosts[target.entry.host].host;
     host = {.name = target.entry.host, .pool = "desk", .state = HostState::kUp};
   }
-  owner.targets["i-1"].missed = missed;
   owner.steward.waves[1].wave = {.number = 1, .hosts = {"m-0"}};
+  return owner;
+}
+
+/// True if the steward stops the first task.
+bool Empties(Owner owner) {
   Alone alone;
   Context context = alone.MakeContext();
   AdvanceSteward(owner, context);
-  const Run& run = owner.targets["i-0"].runs[{JobId(1), 0, 0, 0}];
   CHECK(owner.targets["i-0"].reserved);
-  CHECK((run.phase == RunPhase::kStopping) == (missed == 0));
+  const Run& run = owner.targets["i-0"].runs[{JobId(1), 0, 0, 0}];
+  return run.phase == RunPhase::kStopping;
+}
+
+TEST_CASE("a lasting task on a target that is not heard counts as away") {
+  Owner owner = OwnerOfTwo();
+  CHECK(Empties(owner));
+  owner.targets["i-1"].missed = 1;
+  CHECK_FALSE(Empties(owner));
+}
+
+// khumbu-sched-grown trouble-1, AVAIL: an owner that went on without the store
+// and its successor emptied hosts at the same time.
+TEST_CASE("an owner empties hosts only while no other may own the fleet") {
+  Owner owner = OwnerOfTwo();
+  owner.steward_until = Instant(seconds(90));
+  CHECK_FALSE(Empties(owner));
+}
+
+TEST_CASE("a successor empties no host while stops of others may be on") {
+  Owner owner = OwnerOfTwo();
+  owner.epoch = 2;
+  owner.since = Instant(seconds(89));
+  CHECK_FALSE(Empties(owner));
+  owner.since = Instant(seconds(85));
+  CHECK(Empties(owner));
 }
 
 /// An owner with one target that runs a serving and a filling task.
