--- a/Source/Control/job_command.cc
+++ b/Source/Control/job_command.cc
@@ -1,5 +1,7 @@
 #include "Control/job_command.h"
 
+#include <array>
+#include <cstdint>
 #include <fstream>
 #include <random>
 #include <utility>
@@ -59,6 +61,16 @@
       StrCat(options.spec, ": cannot be read as JSON"));
 }
 
+/// Sends a request on one job and prints the state in the reply.
+ExitCode PrintState(const CommandContext& context, const std::string& method,
+                    const Arguments& arguments) {
+  const AdminReply reply = context.jobs.Send(
+      {.method = method, .path = JobPath(arguments[0], arguments[1])});
+  if (reply.code != ExitCode::kOk) return Complain(context, reply);
+  context.out << StateOf(reply) << "\n";
+  return ExitCode::kOk;
+}
+
 }  // namespace
 
 ExitCode SubmitJob(const CommandContext& context, const Arguments& arguments) {
@@ -79,11 +91,7 @@
 }
 
 ExitCode ShowJob(const CommandContext& context, const Arguments& arguments) {
-  const AdminReply reply = context.jobs.Send(
-      {.method = "GET", .path = JobPath(arguments[0], arguments[1])});
-  if (reply.code != ExitCode::kOk) return Complain(context, reply);
-  context.out << StateOf(reply) << "\n";
-  return ExitCode::kOk;
+  return PrintState(context, "GET", arguments);
 }
 
 ExitCode WaitForJob(const CommandContext& context, const Arguments& arguments) {
@@ -107,11 +115,7 @@
 }
 
 ExitCode CancelJob(const CommandContext& context, const Arguments& arguments) {
-  const AdminReply reply = context.jobs.Send(
-      {.method = "DELETE", .path = JobPath(arguments[0], arguments[1])});
-  if (reply.code != ExitCode::kOk) return Complain(context, reply);
-  context.out << StateOf(reply) << "\n";
-  return ExitCode::kOk;
+  return PrintState(context, "DELETE", arguments);
 }
 
 ExitCode ShowFleet(const CommandContext& context, const Arguments& arguments) {
--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -87,24 +87,24 @@
 Step TakeStep(const nlohmann::json& json, const std::string& at,
               absl::Status& status) {
   Fields fields(json, at);
-  const Step step{.count = fields.Integer("count", 1),
-                  .need = {.cpu_milli = fields.Integer("cpu_milli"),
-                           .memory_mb = fields.Integer("memory_mb"),
-                           .gpus = fields.Integer("gpus")},
-                  .estimate_ms = fields.Integer("estimate_ms"),
-                  .depends_on = fields.Integers("depends_on"),
-                  .saves = fields.Flag("saves"),
-                  .gang = fields.Flag("gang"),
-                  .same_rack = fields.Flag("same_rack"),
-                  .needs_label = fields.Text("needs_label"),
-                  .data_rack = fields.Text("data_rack"),
-                  .max_per_target = fields.Integer("max_per_target"),
-                  .allows_copies = fields.Flag("allows_copies"),
-                  .lasts = fields.Flag("lasts"),
-                  .image = fields.Text("image"),
-                  .tail_target_ms = fields.Integer("tail_target_ms"),
-                  .fills = fields.Flag("fills"),
-                  .may_miss = fields.Integer("may_miss")};
+  Step step{.count = fields.Integer("count", 1),
+            .need = {.cpu_milli = fields.Integer("cpu_milli"),
+                     .memory_mb = fields.Integer("memory_mb"),
+                     .gpus = fields.Integer("gpus")},
+            .estimate_ms = fields.Integer("estimate_ms"),
+            .depends_on = fields.Integers("depends_on"),
+            .saves = fields.Flag("saves"),
+            .gang = fields.Flag("gang"),
+            .same_rack = fields.Flag("same_rack"),
+            .needs_label = fields.Text("needs_label"),
+            .data_rack = fields.Text("data_rack"),
+            .max_per_target = fields.Integer("max_per_target"),
+            .allows_copies = fields.Flag("allows_copies"),
+            .lasts = fields.Flag("lasts"),
+            .image = fields.Text("image"),
+            .tail_target_ms = fields.Integer("tail_target_ms"),
+            .fills = fields.Flag("fills"),
+            .may_miss = fields.Integer("may_miss")};
   status.Update(fields.status());
   return step;
 }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -24,7 +24,7 @@
   Duration move = std::chrono::milliseconds(1500);
   Duration upkeep = std::chrono::seconds(2);
   Duration stop = std::chrono::milliseconds(900);  ///< Longest, of a task.
-  Duration turn_gap = std::chrono::seconds(3);  ///< Between two stewards.
+  Duration turn_gap = std::chrono::seconds(3);     ///< Between two stewards.
   Duration state_kept = std::chrono::seconds(120);
   bool approvals = false;  ///< A placement policy can be asked.
 
--- a/Source/Standalone/fleet_stand_in.cc
+++ b/Source/Standalone/fleet_stand_in.cc
@@ -41,9 +41,9 @@
 void FleetStandIn::Watch(const WatchRows& request,
                          std::function<void(StoreRows)> callback) {
   const auto answer = [this, request, callback = std::move(callback)] {
-    callback(ChangesAfter(request));
+    callback(store_.ChangesAfter(request));
   };
-  const StoreRows news = ChangesAfter(request);
+  const StoreRows news = store_.ChangesAfter(request);
   if (news.rows.empty() && !news.history_lost) {
     Keep(watches_, request.wait, answer);
   } else {
@@ -121,10 +121,6 @@
   return out;
 }
 
-StoreRows FleetStandIn::ChangesAfter(const WatchRows& request) const {
-  return store_.ChangesAfter(request);
-}
-
 std::int64_t FleetStandIn::ClockMs() const {
   return std::chrono::duration_cast<milliseconds>(
              SteadyNow().time_since_epoch())
@@ -160,8 +156,8 @@
                [this, id = order.target, task = order.task, run = order.run] {
                  TaskTarget& target = targets_.at(id);
                  EndLapsedRuns(target, ClockMs());
-                 if (EndRun(target, task, run, EndKind::kDone))
-                   AnswerAll(holds_[id]);
+                 const bool ended = EndRun(target, task, run, EndKind::kDone);
+                 if (ended) AnswerAll(holds_[id]);
                });
 }
 
--- a/Source/Standalone/fleet_stand_in.h
+++ b/Source/Standalone/fleet_stand_in.h
@@ -52,7 +52,6 @@
   };
 
   StoreRows ReadTable(const ReadRows& request) const;
-  StoreRows ChangesAfter(const WatchRows& request) const;
   std::int64_t ClockMs() const;
   /// Keeps `answer` for `wait`, or until the list is answered.
   void Keep(std::vector<Waiting>& list, Duration wait,
--- a/Tests/Claims/claims_test.cc
+++ b/Tests/Claims/claims_test.cc
@@ -82,8 +82,9 @@
   const StoreRequest write = holder.Flush().at(0);
   table.Commit(std::get<Transaction>(write.operation));
   holder.Reply(write, kLost);
-  for (int lost = 0; lost < 3; ++lost)
+  for (int lost = 0; lost < 3; ++lost) {
     holder.Reply(holder.Flush().at(0), kLost);
+  }
   CHECK(holder.verdicts.empty());
   holder.Settle();
   REQUIRE(holder.verdicts.size() == 1);
