--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -51,6 +51,8 @@
   void SetStoreDown(bool down) { store_down_ = down; }
   void AddWave(Wave wave);
 
+  std::int64_t UnixMs() const { return MomentNow().unix_ms; }
+
   /// The entry host that owns the fleet, -1 if none does.
   int OwnerIndex() const;
   const Entry& entry(int n) const { return *entries_[At(n)].core; }
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -77,6 +77,30 @@
   ExpectNoBreach(world);
 }
 
+TEST_CASE(
+    "the runs of a timed job start at their times, also after a takeover") {
+  World world(31, 3, 4);
+  world.Run(seconds(1));
+  JobSpec spec = SimpleJob(1, false);
+  spec.repeats = 3;
+  spec.start_ms = world.UnixMs() + 2000;
+  spec.interval_ms = 3000;
+  world.Submit(JobId(1), spec);
+  world.Run(milliseconds(1900));
+  CHECK(world.StartsOf({JobId(1), 0, 0, 0}) == 0);
+  world.Run(milliseconds(600));
+  CHECK(world.StartsOf({JobId(1), 0, 0, 0}) == 1);
+  world.KillEntry(world.OwnerIndex());
+  world.Run(milliseconds(2300));
+  CHECK(world.StartsOf({JobId(1), 1, 0, 0}) == 0);
+  world.Run(seconds(1));
+  CHECK(world.StartsOf({JobId(1), 1, 0, 0}) == 1);
+  CHECK(world.StateOf(JobId(1)) == JobState::kRunning);
+  world.Run(seconds(4));
+  CHECK(world.StateOf(JobId(1)) == JobState::kCompleted);
+  ExpectNoBreach(world);
+}
+
 TEST_CASE("a hopeless job fails after its attempts and taints no target") {
   World world(2, 3, 6);
   world.hopeless.insert(JobId(1));
