Entry: Say not ready while the store does not answer

In a cut data centre the hosts could not write and refused or left unsettled 202 calls in 5 s, while they said that they were ready, so that new callers were sent to them.

A host that the store has not answered for 1.5 s is not ready: one lost answer does not count, a cut does.

The test failed to compile before (readiness had no moment) and passes now.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -127,7 +127,8 @@
       readiness_server_(
           loop, HttpServerLimits{},
           [this](const HttpRequest&, const Responder& responder) {
-            responder.Send({.status = IsServing(entry_) ? 200 : 503});
+            responder.Send(
+                {.status = IsServing(entry_, Now().now) ? 200 : 503});
           }),
       peer_server_(
           loop, HttpServerLimits{},
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration kTickGap = std::chrono::milliseconds(50);
+/// One lost answer to a watch of 0.5 s, with its timeout of 0.7 s and the time
+/// of another read, does not count yet.
+constexpr Duration kStoreSilence = std::chrono::milliseconds(1500);
 
 void TakeConfiguration(Entry& entry, const StoreRows& reply, Context& context) {
   for (const Wave& it : reply.waves) {
@@ -150,8 +153,10 @@
   ReleaseOwnership(entry, context);
 }
 
-bool IsServing(const Entry& entry) {
-  return entry.configuration.has_value() && !entry.stopping;
+bool IsServing(const Entry& entry, Instant now) {
+  const bool heard =
+      entry.ownership.known && now - entry.ownership.heard_at <= kStoreSilence;
+  return entry.configuration.has_value() && heard && !entry.stopping;
 }
 
 Instant NextTick(const Entry& entry, Instant now) {
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -146,8 +146,10 @@
 /// Answers another entry host's question from the owner's memory.
 OwnerReply AnswerPeer(const Entry& entry, AskKind kind, const std::string& key);
 
-/// True once the host can serve callers.
-bool IsServing(const Entry& entry);
+/// True while the host can serve callers: it knows the configuration, is not
+/// stopping, and the store answers it. One that is cut off from the store can
+/// accept nothing, while hosts elsewhere can.
+bool IsServing(const Entry& entry, Instant now);
 
 /// When OnTick is due at the latest.
 Instant NextTick(const Entry& entry, Instant now);
--- a/Tests/Fleet/job_api_test.cc
+++ b/Tests/Fleet/job_api_test.cc
@@ -86,7 +86,7 @@
 
   void RunUntilOwner() {
     RunUntil([&] {
-      return IsServing(host.entry()) && host.entry().owner &&
+      return host.entry().configuration.has_value() && host.entry().owner &&
              host.entry().owner->ready;
     });
   }
--- a/Tests/Fleet/world.h
+++ b/Tests/Fleet/world.h
@@ -51,6 +51,9 @@
   void SetStoreDown(bool down) { store_down_ = down; }
   void AddWave(Wave wave);
 
+  /// What the host tells the load balancer.
+  bool IsReady(int n) const { return IsServing(entry(n), MomentNow().now); }
+
   std::int64_t UnixMs() const { return MomentNow().unix_ms; }
 
   /// The entry host that owns the fleet, -1 if none does.
--- a/Tests/Fleet/world_test.cc
+++ b/Tests/Fleet/world_test.cc
@@ -332,6 +332,24 @@
   ExpectNoBreach(world);
 }
 
+// ndoto-kazi inc-2570: callers were sent to hosts of a cut zone, which could
+// accept nothing.
+TEST_CASE("a host that the store does not answer is not ready") {
+  World world(12, 3, 4);
+  world.Run(seconds(2));
+  CHECK(world.IsReady(1));
+  world.CutFromStore(1, true);
+  world.Run(seconds(1));
+  CHECK(world.IsReady(1));
+  world.Run(milliseconds(1500));
+  CHECK_FALSE(world.IsReady(1));
+  CHECK(world.IsReady(0));
+  CHECK(world.IsReady(2));
+  world.CutFromStore(1, false);
+  world.Run(milliseconds(1500));
+  CHECK(world.IsReady(1));
+}
+
 TEST_CASE("the strongest host owns the fleet whenever it is there") {
   World world(GENERATE(1U, 2U, 3U, 4U), 4, 4);
   world.cpu_milli = {120, 120, 500, 120};
