Fleet: Hand replies, counts and the lease's end over in one place

Four handlers of replies in entry.cc, two counters and two histograms in fleet_metrics.cc and three sums of the lease's end in ownership.cc were copies with small variations.

Ruled out: letting the replies about hosts advance as well; they wait for the steward's next plan, as before. The field list of a step in job.cc stays beside its reader: recording what is read would put work on each order's answer.

--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -11,6 +11,29 @@
   StrAppend(out, "hyssopbarrow_", name, " ", FormatNumber(value), "\n");
 }
 
+using Pair = std::pair<std::string, std::string>;
+
+/// A counter with one series for each pair of values of the two labels.
+void AppendCounts(std::string& out, std::string_view name,
+                  std::string_view help, const Pair& labels,
+                  const std::map<Pair, std::int64_t>& counts) {
+  AppendHeading(out, name, "counter", help);
+  for (const auto& [values, n] : counts) {
+    StrAppend(out, "hyssopbarrow_", name, "{", labels.first, "=\"",
+              values.first, "\",", labels.second, "=\"", values.second, "\"} ",
+              n, "\n");
+  }
+}
+
+void AppendHistograms(std::string& out, std::string_view name,
+                      std::string_view help, std::string_view label,
+                      const std::map<std::string, LatencySeries>& series) {
+  AppendHeading(out, name, "histogram", help);
+  for (const auto& [value, it] : series) {
+    AppendHistogram(out, name, label, value, it);
+  }
+}
+
 void AppendOwner(std::string& out, const Owner& owner) {
   std::int64_t runs = 0;
   std::int64_t unheard = 0;
@@ -48,28 +71,16 @@
 
 std::string FormatMetrics(const FleetMetrics& metrics, const Entry& entry) {
   std::string out;
-  AppendHeading(out, "job_calls_total", "counter",
-                "Answered calls by kind and outcome.");
-  for (const auto& [key, n] : metrics.calls) {
-    StrAppend(out, "hyssopbarrow_job_calls_total{kind=\"", key.first,
-              "\",outcome=\"", key.second, "\"} ", n, "\n");
-  }
-  AppendHeading(out, "job_call_seconds", "histogram",
-                "From a call's arrival until its answer.");
-  for (const auto& [kind, it] : metrics.call_seconds) {
-    AppendHistogram(out, "job_call_seconds", "kind", kind, it);
-  }
-  AppendHeading(out, "replies_total", "counter",
-                "Replies of other systems by result.");
-  for (const auto& [key, n] : metrics.replies) {
-    StrAppend(out, "hyssopbarrow_replies_total{system=\"", key.first,
-              "\",result=\"", key.second, "\"} ", n, "\n");
-  }
-  AppendHeading(out, "reply_seconds", "histogram",
-                "From a request to another system until its reply.");
-  for (const auto& [system, it] : metrics.reply_seconds) {
-    AppendHistogram(out, "reply_seconds", "system", system, it);
-  }
+  AppendCounts(out, "job_calls_total", "Answered calls by kind and outcome.",
+               {"kind", "outcome"}, metrics.calls);
+  AppendHistograms(out, "job_call_seconds",
+                   "From a call's arrival until its answer.", "kind",
+                   metrics.call_seconds);
+  AppendCounts(out, "replies_total", "Replies of other systems by result.",
+               {"system", "result"}, metrics.replies);
+  AppendHistograms(out, "reply_seconds",
+                   "From a request to another system until its reply.",
+                   "system", metrics.reply_seconds);
   AppendGauge(out, "owns_fleet", "1 while this host owns the fleet.",
               entry.owner.has_value() ? 1 : 0);
   AppendGauge(out, "epoch", "Newest epoch of the ownership known here.",
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -76,6 +76,19 @@
   AdvanceAll(entry, context);
 }
 
+/// What follows on a reply: the steward plans at its own times and waits.
+enum class AfterReply { kAdvance, kWait };
+
+/// Hands a reply to the owner, if this host is the owner.
+template <typename Take, typename Reply>
+void GiveOwner(Entry& entry, Take take, std::int64_t id, const Reply& reply,
+               const Moment& at, Effects& out, AfterReply after) {
+  if (!entry.owner.has_value()) return;
+  Context context = ContextOf(entry, at, out);
+  take(*entry.owner, id, reply, context);
+  if (after == AfterReply::kAdvance) AdvanceAfterNews(entry, context);
+}
+
 }  // namespace
 
 Context ContextOf(Entry& entry, const Moment& at, Effects& out) {
@@ -118,32 +131,22 @@
 
 void OnOrderReply(Entry& entry, std::int64_t id, const OrderReply& reply,
                   const Moment& at, Effects& out) {
-  if (!entry.owner.has_value()) return;
-  Context context = ContextOf(entry, at, out);
-  TakeOrderReply(*entry.owner, id, reply, context);
-  AdvanceAfterNews(entry, context);
+  GiveOwner(entry, TakeOrderReply, id, reply, at, out, AfterReply::kAdvance);
 }
 
 void OnApproval(Entry& entry, std::int64_t id, const ApprovalReply& reply,
                 const Moment& at, Effects& out) {
-  if (!entry.owner.has_value()) return;
-  Context context = ContextOf(entry, at, out);
-  TakeApproval(*entry.owner, id, reply, context);
-  AdvanceAfterNews(entry, context);
+  GiveOwner(entry, TakeApproval, id, reply, at, out, AfterReply::kAdvance);
 }
 
 void OnHosts(Entry& entry, std::int64_t id, const HostList& list,
              const Moment& at, Effects& out) {
-  if (!entry.owner.has_value()) return;
-  Context context = ContextOf(entry, at, out);
-  TakeHosts(*entry.owner, id, list, context);
+  GiveOwner(entry, TakeHosts, id, list, at, out, AfterReply::kWait);
 }
 
 void OnHostReply(Entry& entry, std::int64_t id, HostResult result,
                  const Moment& at, Effects& out) {
-  if (!entry.owner.has_value()) return;
-  Context context = ContextOf(entry, at, out);
-  TakeHostReply(*entry.owner, id, result, context);
+  GiveOwner(entry, TakeHostReply, id, result, at, out, AfterReply::kWait);
 }
 
 void OnStop(Entry& entry, const Moment& at, Effects& out) {
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -29,6 +29,11 @@
   return {Table::kOwner, std::string(key)};
 }
 
+/// When the lease is over that was renewed by a request sent at `sent_at`.
+Instant LeaseEnd(Instant sent_at) {
+  return sent_at + kTakeoverAfter - kLeaseMargin;
+}
+
 nlohmann::json LeaseRow(const Entry& entry, std::int64_t epoch, bool released) {
   return {{"holder", entry.self.holder},
           {"address", entry.self.address},
@@ -60,7 +65,7 @@
   owner.epoch_revision = revision;
   owner.commit_revision = revision;
   owner.since = context.at.now;
-  owner.may_order_until = sent_at + kTakeoverAfter - kLeaseMargin;
+  owner.may_order_until = LeaseEnd(sent_at);
   owner.steward_until = owner.may_order_until;
   owner.steward.orders_from =
       epoch > 1 ? context.at.now + context.terms.turn_gap : context.at.now;
@@ -141,7 +146,7 @@
     case StoreStatus::kOk:
       it.renewed_at = it.renewal_sent;
       it.next_renewal = it.renewal_sent + kRenewGap;
-      owner.may_order_until = it.renewed_at + kTakeoverAfter - kLeaseMargin;
+      owner.may_order_until = LeaseEnd(it.renewed_at);
       owner.steward_until = owner.may_order_until;
       owner.fenced = false;
       return;
@@ -155,9 +160,9 @@
   it.next_renewal = context.at.now + kRenewRetry;
   // Only a renewal that was tried after the lease had run out shows that the
   // store is away, and not that this host stood still.
-  const Instant lease_end = it.renewed_at + kTakeoverAfter - kLeaseMargin;
   const Instant go_on = it.renewed_at + kGoOnWithoutStore;
-  if (it.renewal_sent < lease_end || owner.may_order_until >= go_on) return;
+  const bool early = it.renewal_sent < LeaseEnd(it.renewed_at);
+  if (early || owner.may_order_until >= go_on) return;
   owner.may_order_until = go_on;
   Note(context, Severity::kWarn, "going_on_without_store",
        {{"epoch", std::to_string(owner.epoch)},
