Policy: Make the owner's cost independent of the size of the fleet

Its profile was walks over the whole fleet: each round of 2 ms over all targets, each commit over the ends of all targets, each plan of the host manager over wave hosts times hosts, each new job over the unknown runs of all targets, each placement over all targets for demands that had just failed.

Now a round visits the targets that have changed (all of them each 50 ms), a commit the targets with ends to store, the planner counts hosts and finds hosts of waves once, and a demand that fits nowhere is not tried again in the same placement. Ruled out: JSON and HTTP as the main cost; they are about half of what is left.

The test of throttling now adds its runs by AddRun, which keeps the counts that throttling reads; its checks are unchanged.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -72,8 +72,21 @@
   }
 }
 
+void HostPlanner::IndexHosts() {
+  for (const auto& [name, host] : host_manager_.hosts) {
+    ++host_count_by_pool_[host.host.pool];
+  }
+  for (const auto& [number, wave] : host_manager_.waves) {
+    if (wave.completed) continue;
+    for (const std::string& name : wave.wave.hosts) {
+      if (wave.done_hosts.count(name) == 0) hosts_to_maintain_.insert(name);
+    }
+  }
+}
+
 void HostPlanner::PlanRound() {
   for (auto& [name, host] : host_manager_.hosts) FinishOperation(host);
+  IndexHosts();
   for (auto& [number, wave] : host_manager_.waves) PlanWave(number, wave);
   PlanMoves();
   for (auto& [name, host] : host_manager_.hosts) AdvanceOperation(host);
--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -25,9 +25,8 @@
 }
 
 double HostPlanner::CountHosts(const std::string& pool) const {
-  return static_cast<double>(std::count_if(
-      host_manager_.hosts.begin(), host_manager_.hosts.end(),
-      [&](const auto& host) { return host.second.host.pool == pool; }));
+  auto it = host_count_by_pool_.find(pool);
+  return it == host_count_by_pool_.end() ? 0 : static_cast<double>(it->second);
 }
 
 std::map<std::string, double> HostPlanner::CpuDemandByPool() const {
@@ -116,18 +115,6 @@
   return empty;
 }
 
-bool HostPlanner::WaitsForMaintenance(const HostView& host) const {
-  return std::any_of(host_manager_.waves.begin(), host_manager_.waves.end(),
-                     [&](const auto& entry) {
-                       const WaveView& wave = entry.second;
-                       const auto& hosts = wave.wave.hosts;
-                       return !wave.completed &&
-                              wave.done_hosts.count(host.host.name) == 0 &&
-                              std::find(hosts.begin(), hosts.end(),
-                                        host.host.name) != hosts.end();
-                     });
-}
-
 void HostPlanner::ReserveForMove(HostView& host, const std::string& pool,
                                  double required_hosts,
                                  double available_hosts) {
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "Policy/owner.h"
@@ -58,6 +61,8 @@
   /// Fraction of the CPU capacity of the host's target that runs use.
   double CpuUtilization(const HostView& host);
   double CountHosts(const std::string& pool) const;
+  /// Counts the hosts of each pool, and finds those that wait for maintenance.
+  void IndexHosts();
   /// CPU in use and CPU that startable tasks wait for, by pool, in thousandths
   /// of a core.
   std::map<std::string, double> CpuDemandByPool() const;
@@ -70,7 +75,9 @@
   /// Hosts of `pool` that run nothing and are not needed for maintenance.
   std::vector<HostView*> FindEmptyHosts(const std::string& pool);
   /// True if a wave that is not completed still has to maintain the host.
-  bool WaitsForMaintenance(const HostView& host) const;
+  bool WaitsForMaintenance(const HostView& host) const {
+    return hosts_to_maintain_.count(host.host.name) > 0;
+  }
   void ReserveForMove(HostView& host, const std::string& pool,
                       double required_hosts, double available_hosts);
   /// Moves empty hosts of other pools, spare pools first, to a pool that has
@@ -89,7 +96,9 @@
   Owner& owner_;
   HostManager& host_manager_;
   Context& context_;
-  std::map<std::string, TargetView*> targets_by_host_;
+  std::unordered_map<std::string_view, TargetView*> targets_by_host_;
+  std::map<std::string, std::int64_t> host_count_by_pool_;
+  std::unordered_set<std::string_view> hosts_to_maintain_;
 };
 
 }  // namespace hyssopbarrow::fleet
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -18,10 +18,11 @@
 
 /// Between checks for due occurrences, unlisted targets and outdated job rows.
 constexpr Duration kSweepInterval = milliseconds(250);
-/// Between rounds over all targets. Changes that arrive together share a round,
-/// so that the cost of an event does not grow with the fleet.
+/// Between rounds over the targets that have changed. Changes that arrive
+/// together share a round.
 constexpr Duration kMinRoundInterval = milliseconds(2);
-constexpr Duration kMaxRoundInterval = milliseconds(50);
+/// Between rounds over all targets, which find retries and expired leases.
+constexpr Duration kFullRoundInterval = milliseconds(50);
 /// Per job. Further occurrences open once earlier ones are complete.
 constexpr std::int64_t kMaxOpenOccurrences = 64;
 /// Limits the effect of a wrong clock on the age of a job.
@@ -73,6 +74,24 @@
   return all;
 }
 
+/// Handles the runs that targets reported before the row of their job arrived.
+void AdoptUnknownRuns(Owner& owner, const std::string& job, Context& context) {
+  auto node = owner.unknown_run_targets.extract(job);
+  if (node.empty()) return;
+  for (const std::string& id : node.mapped()) {
+    auto it = owner.targets.find(id);
+    if (it == owner.targets.end()) continue;
+    TargetView& target = it->second;
+    std::vector<ReportedRun> reported_runs;
+    for (const auto& [task, run] : target.unknown_runs) {
+      if (task.job == job) reported_runs.push_back(run.reported);
+    }
+    for (const ReportedRun& reported : reported_runs) {
+      HandleUntrackedRun(owner, target, reported, context);
+    }
+  }
+}
+
 void AddJob(Owner& owner, JobRecord record, const Row& row, bool live,
             Context& context) {
   const std::string id = record.id;
@@ -122,15 +141,7 @@
   for (const auto& [name, assignment] : assignments) {
     RestoreAssignment(owner, added, name, assignment, context);
   }
-  for (auto& [name, target] : owner.targets) {
-    std::vector<ReportedRun> reported_runs;
-    for (const auto& [task, run] : target.unknown_runs) {
-      if (task.job == id) reported_runs.push_back(run.reported);
-    }
-    for (const ReportedRun& reported : reported_runs) {
-      HandleUntrackedRun(owner, target, reported, context);
-    }
-  }
+  AdoptUnknownRuns(owner, id, context);
   if (owner.unmatched_cancels.erase(id) > 0) CancelJob(owner, id, context);
 }
 
@@ -140,6 +151,8 @@
                       owner.targets_loaded && context.configuration != nullptr;
   if (!loaded) return;
   owner.ready = true;
+  owner.next_full_round = context.time.now;
+  ScheduleRound(owner, context.time.now);
   Log(context, Severity::kInfo, "owner_ready",
       {{"epoch", std::to_string(owner.epoch)},
        {"jobs", std::to_string(owner.active_jobs.size())},
@@ -167,18 +180,29 @@
   }
 }
 
-/// Advances every target and schedules the next round.
-void AdvanceAllTargets(Owner& owner, Context& context) {
+/// Advances the targets that have changed since the last round, or all of them
+/// if a full round is due, and schedules the next round.
+void AdvanceTargets(Owner& owner, Context& context) {
   const Instant now = context.time.now;
   owner.last_round = now;
-  Instant next = now + kMaxRoundInterval;
-  for (auto& [id, target] : owner.targets) {
-    AdvanceTarget(owner, target, context);
-    if (owner.jobs_loaded && NeedsPoll(target)) {
-      next = std::min(next, target.next_poll);
+  std::vector<std::string> changed;
+  changed.swap(owner.next_round_targets);
+  const bool full = owner.next_full_round <= now;
+  if (full) {
+    owner.next_full_round = now + kFullRoundInterval;
+    for (auto& [id, target] : owner.targets) {
+      target.in_next_round = false;
+      AdvanceTarget(owner, target, context);
+    }
+  } else {
+    for (const std::string& id : changed) {
+      auto it = owner.targets.find(id);
+      if (it == owner.targets.end()) continue;
+      it->second.in_next_round = false;
+      AdvanceTarget(owner, it->second, context);
     }
   }
-  owner.next_round = std::max(next, now + kMinRoundInterval);
+  owner.next_round = owner.next_full_round;
 }
 
 bool MayPlaceTasks(const Owner& owner, Instant now) {
@@ -275,6 +299,9 @@
     }
     target.entry = entry;
     target.listed = true;
+    if (inserted || restarted || known_by_assignment_only) {
+      AddToNextRound(owner, target);
+    }
   }
   std::vector<std::string> removed = rows.removed_targets;
   if (whole) {
@@ -309,6 +336,12 @@
   }
 }
 
+void AddToNextRound(Owner& owner, TargetView& target) {
+  if (target.in_next_round) return;
+  target.in_next_round = true;
+  owner.next_round_targets.push_back(target.entry.id);
+}
+
 void ScheduleRound(Owner& owner, Instant now) {
   owner.next_round = std::min(
       owner.next_round, std::max(now, owner.last_round + kMinRoundInterval));
@@ -339,7 +372,7 @@
     owner.placement_due = false;
     PlaceTasks(owner, context);
   }
-  if (owner.next_round <= now) AdvanceAllTargets(owner, context);
+  if (owner.next_round <= now) AdvanceTargets(owner, context);
   CommitChanges(owner, context, sweep);
 }
 
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -65,6 +65,8 @@
   Resources resources;       ///< Reserved on the target.
   Resources team_resources;  ///< Counted towards the team's ceiling.
   std::string team;
+  bool background = false;                  ///< As in Step.
+  std::int64_t tail_latency_target_ms = 0;  ///< As in Step.
   Instant start_sent_at{};  ///< When the last start request was sent.
   /// When the target confirmed the start or first reported the run.
   std::optional<Instant> confirmed_at;
@@ -94,6 +96,7 @@
   bool retired = false;  ///< Its host was moved or taken out; it runs nothing.
   std::map<TaskName, Run> runs;
   Resources used;
+  std::int64_t background_runs = 0;  ///< Runs of background tasks.
   /// Number of the last run end (RunEnd::number) that was handled.
   std::int64_t last_end_processed = 0;
   std::int64_t last_end_stored = 0;  ///< Last end whose effect is stored.
@@ -114,7 +117,8 @@
   Instant next_throttle{};            ///< Earliest next speed change.
   /// A start waits because too many requests are pending.
   bool start_deferred = false;
-  bool reserved = false;  ///< Being emptied for a move or maintenance.
+  bool reserved = false;       ///< Being emptied for a move or maintenance.
+  bool in_next_round = false;  ///< In Owner::next_round_targets.
   std::map<TaskName, UnknownRun> unknown_runs;
   /// Jobs with failed runs here since such failures last made the owner avoid
   /// the target.
@@ -217,6 +221,10 @@
   std::map<std::string, nlohmann::json> unmatched_progress;
   std::set<std::string> unmatched_cancels;
   std::map<std::string, TargetView> targets;
+  /// Targets with unknown runs, by the job of the runs.
+  std::map<std::string, std::set<std::string>> unknown_run_targets;
+  /// Targets with ends that are processed but not stored.
+  std::set<std::string> targets_with_unstored_ends;
   std::map<std::string, Resources> team_used;
   std::unordered_map<std::int64_t, PendingTargetRequest>
       pending_target_requests;
@@ -232,9 +240,12 @@
   Duration commit_timeout{};  ///< Adapts to the latency of commits.
   /// Next check for due occurrences, unlisted targets and outdated job rows.
   Instant next_sweep{};
-  /// Next round, which sends due polls and retries to all targets.
+  /// Next round, which sends due polls and retries to `next_round_targets`, or
+  /// to all targets if a full round is due.
   Instant next_round{};
+  Instant next_full_round{};
   Instant last_round{};
+  std::vector<std::string> next_round_targets;
   Instant next_throttle_check{};
   bool placement_due = true;
   std::int64_t start_count = 0;  ///< Runs planned by this owner.
@@ -268,9 +279,12 @@
 bool HandleHostReply(Owner& owner, std::int64_t id, HostRequestResult result,
                      Context& context);
 
-/// Schedules the next round over the targets as early as possible.
+/// Schedules the next round as early as possible.
 void ScheduleRound(Owner& owner, Instant now);
 
+/// Includes a target in the next round.
+void AddToNextRound(Owner& owner, TargetView& target);
+
 /// Does all work that is due: expired leases, polls, retries, starts, commits.
 void AdvanceOwner(Owner& owner, Context& context);
 
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -63,6 +63,7 @@
     if (target->second.pending_poll == 0) {
       target->second.next_poll = context.time.now;
     }
+    AddToNextRound(owner, target->second);
   }
 }
 
@@ -72,11 +73,19 @@
                     const Context& context) {
   for (const auto& [id, number] : pending.ends) {
     auto it = owner.targets.find(id);
-    if (it == owner.targets.end() || it->second.last_end_stored >= number) {
+    if (it == owner.targets.end()) {
+      owner.targets_with_unstored_ends.erase(id);
       continue;
     }
-    it->second.last_end_stored = number;
-    it->second.next_poll = context.time.now;
+    TargetView& target = it->second;
+    if (target.last_end_stored < number) {
+      target.last_end_stored = number;
+      target.next_poll = context.time.now;
+      AddToNextRound(owner, target);
+    }
+    if (target.last_end_stored >= target.last_end_processed) {
+      owner.targets_with_unstored_ends.erase(id);
+    }
   }
 }
 
@@ -151,8 +160,10 @@
     CollectStarts(owner, it->second, pending);
   }
   if (owner.changed_jobs.empty()) {
-    for (const auto& [id, target] : owner.targets) {
-      pending.ends[id] = target.last_end_processed;
+    for (const std::string& id : owner.targets_with_unstored_ends) {
+      auto it = owner.targets.find(id);
+      pending.ends[id] =
+          it == owner.targets.end() ? 0 : it->second.last_end_processed;
     }
   }
   AddWaveWrites(owner, pending, commit);
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -105,6 +105,7 @@
     const bool counts = (!lease_expired || started_after_poll) &&
                         end.number >= last_expired_end;
     target.last_end_processed = end.number;
+    owner.targets_with_unstored_ends.insert(target.entry.id);
     HandleRunEnd(owner, target, end, counts, context);
   }
   target.last_end_acknowledged =
@@ -261,8 +262,10 @@
     const auto [it, inserted] = target.unknown_runs.try_emplace(
         reported.task, UnknownRun{reported, now});
     if (job == nullptr && now - it->second.first_seen < kUnknownRunGrace) {
+      owner.unknown_run_targets[reported.task.job].insert(target.entry.id);
       return;
     }
+    owner.unknown_run_targets.erase(reported.task.job);
     TargetRequest stop{.kind = TargetRequestKind::kStop};
     stop.task = reported.task;
     stop.run = reported.run;
@@ -300,6 +303,7 @@
   auto view = owner.targets.find(request.target);
   if (view == owner.targets.end()) return true;
   TargetView& target = view->second;
+  AddToNextRound(owner, target);
   const Instant now = context.time.now;
   const bool is_poll = request.kind == TargetRequestKind::kPoll;
   if (is_poll) {
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -115,6 +115,8 @@
   if (step.background) run.resources.cpu_milli = 0;
   run.team_resources = step.resources;
   run.team = job.record.team;
+  run.background = step.background;
+  run.tail_latency_target_ms = step.tail_latency_target_ms;
   run.phase = RunPhase::kPlanned;
   run.start_sent_at = now;
   target.used += run.resources;
@@ -127,6 +129,11 @@
     job.has_run = true;
     if (job.state == JobState::kPending) job.state = JobState::kRunning;
   }
+  auto existing = target.runs.find(name);
+  if (existing != target.runs.end() && existing->second.background) {
+    --target.background_runs;
+  }
+  if (run.background) ++target.background_runs;
   return target.runs[name] = std::move(run);
 }
 
@@ -157,6 +164,7 @@
   auto it = target.runs.find(name);
   if (it == target.runs.end()) return;
   const Run& run = it->second;
+  if (run.background) --target.background_runs;
   target.used -= run.resources;
   owner.team_used[run.team] -= run.team_resources;
   auto job = owner.jobs.find(name.job);
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -42,12 +42,27 @@
   auto Key() const { return std::tie(rank, priority, latest_start); }
 };
 
+/// A usable target and what its runs leave free.
+struct FreeTarget {
+  Resources free;
+  TargetView* target = nullptr;
+};
+
 /// The usable targets of a pool and the occurrences to place on them.
 struct PoolView {
   std::vector<Candidate> candidates;
-  std::vector<TargetView*> targets;
+  std::vector<FreeTarget> targets;
+  /// Demands that fit on no target. Free resources only shrink while tasks are
+  /// placed, so that greater demands do not fit either.
+  std::vector<Resources> unplaceable;
 };
 
+bool IsUnplaceable(const PoolView& pool, const Resources& need) {
+  return std::any_of(
+      pool.unplaceable.begin(), pool.unplaceable.end(),
+      [&](const Resources& demand) { return Fits(demand, need); });
+}
+
 Resources FreeResources(const TargetView& target) {
   Resources free = target.entry.capacity;
   free -= target.used;
@@ -95,21 +110,43 @@
 
   void CollectCandidates() {
     for (auto& [id, target] : owner_.targets) {
-      PoolView& pool = pools_[target.entry.pool];
-      if (IsUsable(target, now())) pool.targets.push_back(&target);
+      if (!IsUsable(target, now())) continue;
+      pools_[target.entry.pool].targets.push_back(
+          {FreeResources(target), &target});
     }
     for (const std::string& id : owner_.active_jobs) {
       Job& job = owner_.jobs.at(id);
-      PoolView& pool = pools_[std::string(PoolOf(job, context_))];
-      if (pool.targets.empty()) continue;
-      const Queue* queue = QueueOf(job);
       for (auto& [number, occurrence] : job.open_occurrences) {
-        pool.candidates.push_back(
+        if (!HasRunnableTask(job, occurrence)) continue;
+        const Queue* queue = QueueOf(job);
+        auto pool =
+            pools_.find(queue == nullptr ? job.record.pool : queue->pool);
+        if (pool == pools_.end()) continue;
+        pool->second.candidates.push_back(
             MakeCandidate(job, queue, number, occurrence));
       }
     }
   }
 
+  bool IsRunnable(const Task& task) const {
+    return !task.done && task.assignments.empty() &&
+           task.earliest_start <= now();
+  }
+
+  bool HasRunnableTask(const Job& job, const Occurrence& occurrence) const {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const std::vector<Task>& tasks = occurrence.steps[s].tasks;
+      const bool runnable =
+          std::any_of(tasks.begin(), tasks.end(),
+                      [&](const Task& task) { return IsRunnable(task); });
+      if (runnable &&
+          AreDependenciesDone(job, occurrence, static_cast<std::int64_t>(s))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   const Queue* QueueOf(const Job& job) const {
     return context_.configuration == nullptr
                ? nullptr
@@ -152,17 +189,12 @@
     }
   }
 
-  bool IsRunnable(const Task& task) const {
-    return !task.done && task.assignments.empty() &&
-           task.earliest_start <= now();
-  }
-
   void PlaceStep(PoolView& pool, Job& job, TaskName name, StepProgress& step) {
     for (std::size_t n = 0; n < step.tasks.size(); ++n) {
       Task& task = step.tasks[n];
       if (!IsRunnable(task)) continue;
       name.index = static_cast<std::int64_t>(n);
-      TargetView* target = ChooseTarget(pool, job, name, task);
+      FreeTarget* target = ChooseTarget(pool, job, name, task);
       if (target == nullptr) {
         // The other tasks have the same requirements, unless this one avoids
         // targets where it has failed.
@@ -185,15 +217,21 @@
         team->ceiling);
   }
 
-  bool CanPlace(const TargetView& target, const Step& step,
-                const TaskName& name) const {
+  /// What a task of the step uses of a target.
+  static Resources NeedOf(const Step& step) {
+    Resources need = step.resources;
+    if (step.background) need.cpu_milli = 0;
+    return need;
+  }
+
+  /// True if the target may run the task, provided that its free resources
+  /// suffice.
+  bool IsEligible(const TargetView& target, const Step& step,
+                  const TaskName& name) const {
     if (!step.required_label.empty() &&
         !HasLabel(target.entry, step.required_label)) {
       return false;
     }
-    Resources need = step.resources;
-    if (step.background) need.cpu_milli = 0;
-    if (!Fits(need, FreeResources(target))) return false;
     if (target.runs.count(name) > 0) return false;
     if (step.max_per_target > 0 &&
         CountRunsOfStep(target, name) >= step.max_per_target) {
@@ -208,34 +246,41 @@
   /// Returns the best target that fits the task; null if there is none. Prefers
   /// targets where the task has not failed, then the rack of its data, then, to
   /// spread a long-running step, few runs of the step, then little free CPU.
-  TargetView* ChooseTarget(PoolView& pool, const Job& job, const TaskName& name,
+  FreeTarget* ChooseTarget(PoolView& pool, const Job& job, const TaskName& name,
                            const Task& task) {
     const Step& step = StepOf(job, name.step);
+    const Resources need = NeedOf(step);
+    if (IsUnplaceable(pool, need)) return nullptr;
     if (!WithinTeamCeiling(job, step.resources)) return nullptr;
-    TargetView* best = nullptr;
+    FreeTarget* best = nullptr;
+    bool fits_somewhere = false;
     auto best_key = std::make_tuple(0L, 0L, 0L, 0L);
-    for (TargetView* target : pool.targets) {
-      if (!CanPlace(*target, step, name)) continue;
-      if (target->pending_requests >= kMaxPendingRequestsPerTarget) {
-        target->start_deferred = true;
-        continue;
-      }
-      const auto failed = static_cast<std::int64_t>(
-          task.failed_targets.count(target->entry.id));
+    for (FreeTarget& candidate : pool.targets) {
+      if (!Fits(need, candidate.free)) continue;
+      fits_somewhere = true;
+      TargetView& target = *candidate.target;
+      const auto failed = task.failed_targets.empty()
+                              ? 0L
+                              : static_cast<std::int64_t>(
+                                    task.failed_targets.count(target.entry.id));
       const std::int64_t other_rack =
-          !step.data_rack.empty() && !HasLabel(target->entry, step.data_rack)
+          !step.data_rack.empty() && !HasLabel(target.entry, step.data_rack)
               ? 1
               : 0;
       const std::int64_t runs_of_step =
-          step.long_running ? CountRunsOfStep(*target, name) : 0;
-      const auto key = std::make_tuple(
-          failed, other_rack, runs_of_step,
-          target->entry.capacity.cpu_milli - target->used.cpu_milli);
-      if (best == nullptr || key < best_key) {
-        best = target;
-        best_key = key;
+          step.long_running ? CountRunsOfStep(target, name) : 0;
+      const auto key = std::make_tuple(failed, other_rack, runs_of_step,
+                                       candidate.free.cpu_milli);
+      if (best != nullptr && key >= best_key) continue;
+      if (!IsEligible(target, step, name)) continue;
+      if (target.pending_requests >= kMaxPendingRequestsPerTarget) {
+        target.start_deferred = true;
+        continue;
       }
+      best = &candidate;
+      best_key = key;
     }
+    if (!fits_somewhere) pool.unplaceable.push_back(need);
     return best;
   }
 
@@ -243,9 +288,11 @@
     return std::max(last, (owner_.epoch - 1) * kRunNumbersPerEpoch) + 1;
   }
 
-  void PlanRun(Job& job, const TaskName& name, Task& task, TargetView& target,
+  void PlanRun(Job& job, const TaskName& name, Task& task, FreeTarget& chosen,
                std::int64_t number) {
+    TargetView& target = *chosen.target;
     fleet::Run& run = AddRun(owner_, target, job, name, number, now());
+    chosen.free = FreeResources(target);
     run.checkpoint = task.checkpoint;
     ++owner_.start_count;
     MarkJobChanged(owner_, job);
@@ -253,7 +300,7 @@
         {{"task", ToString(name)},
          {"run", std::to_string(number)},
          {"target", target.entry.id},
-         {"free_cpu_milli", std::to_string(FreeResources(target).cpu_milli)}});
+         {"free_cpu_milli", std::to_string(chosen.free.cpu_milli)}});
   }
 
   /// Places all tasks of a gang or none.
@@ -269,11 +316,11 @@
     Resources total;
     for (std::size_t n = 0; n < step.tasks.size(); ++n) total += spec.resources;
     if (!WithinTeamCeiling(job, total)) return;
-    std::vector<TargetView*> targets;
+    std::vector<FreeTarget*> targets;
     if (spec.same_rack) {
       std::set<std::string_view> racks;
-      for (const TargetView* target : pool.targets) {
-        racks.insert(RackOf(*target));
+      for (const FreeTarget& target : pool.targets) {
+        racks.insert(RackOf(*target.target));
       }
       for (const std::string_view rack : racks) {
         targets = FindGangTargets(pool, spec, name, step.tasks.size(), rack);
@@ -294,21 +341,23 @@
 
   /// Returns a target for each of `count` tasks; empty if not all of them fit.
   /// Searches all racks if `rack` is empty.
-  std::vector<TargetView*> FindGangTargets(const PoolView& pool,
-                                           const Step& step,
+  std::vector<FreeTarget*> FindGangTargets(PoolView& pool, const Step& step,
                                            const TaskName& name,
                                            std::size_t count,
                                            std::string_view rack) const {
-    std::vector<TargetView*> targets;
-    for (TargetView* target : pool.targets) {
-      if (!rack.empty() && RackOf(*target) != rack) continue;
-      if (!CanPlace(*target, step, name)) continue;
-      Resources free = FreeResources(*target);
-      std::int64_t runs_on_target = CountRunsOfStep(*target, name);
+    std::vector<FreeTarget*> targets;
+    const Resources need = NeedOf(step);
+    for (FreeTarget& target : pool.targets) {
+      if (!rack.empty() && RackOf(*target.target) != rack) continue;
+      const bool fits =
+          Fits(need, target.free) && IsEligible(*target.target, step, name);
+      if (!fits) continue;
+      Resources free = target.free;
+      std::int64_t runs_on_target = CountRunsOfStep(*target.target, name);
       while (
           targets.size() < count && Fits(step.resources, free) &&
           (step.max_per_target == 0 || runs_on_target < step.max_per_target)) {
-        targets.push_back(target);
+        targets.push_back(&target);
         free -= step.resources;
         ++runs_on_target;
       }
@@ -334,15 +383,14 @@
     ApprovalRequest request{.id = approval.pending_request,
                             .step = StepName(name),
                             .timeout = kApprovalTimeout};
-    std::vector<TargetView*> targets = pool.targets;
+    std::vector<FreeTarget> targets = pool.targets;
     std::sort(targets.begin(), targets.end(),
-              [](const TargetView* a, const TargetView* b) {
-                return FreeResources(*a).cpu_milli >
-                       FreeResources(*b).cpu_milli;
+              [](const FreeTarget& a, const FreeTarget& b) {
+                return a.free.cpu_milli > b.free.cpu_milli;
               });
-    for (const TargetView* target : targets) {
+    for (const FreeTarget& target : targets) {
       if (request.targets.size() == kMaxApprovalTargets) break;
-      request.targets.push_back(target->entry.id);
+      request.targets.push_back(target.target->entry.id);
     }
     context_.out.emplace_back(std::move(request));
     return false;
--- a/Source/Policy/throttling.cc
+++ b/Source/Policy/throttling.cc
@@ -23,23 +23,16 @@
 constexpr std::int64_t kMinSpeedPercent = 10;
 constexpr std::int64_t kSpeedUpStepPercent = 15;
 
-/// Step of a task; null if the job is unknown.
-const Step* FindStep(const Owner& owner, const TaskName& name) {
-  auto job = owner.jobs.find(name.job);
-  return job == owner.jobs.end() ? nullptr : &StepOf(job->second, name.step);
-}
-
 /// Highest ratio of tail latency to its target among the serving tasks of a
 /// target.
-double WorstTailRatio(const Owner& owner, const TargetView& target) {
+double WorstTailRatio(const TargetView& target) {
   double worst_ratio = 0;
   for (const auto& [name, run] : target.runs) {
-    const Step* step = FindStep(owner, name);
-    if (step == nullptr || step->tail_latency_target_ms <= 0) continue;
+    if (run.tail_latency_target_ms <= 0) continue;
     if (run.phase != RunPhase::kRunning) continue;
-    worst_ratio = std::max(
-        worst_ratio, static_cast<double>(run.load) /
-                         static_cast<double>(step->tail_latency_target_ms));
+    worst_ratio = std::max(worst_ratio,
+                           static_cast<double>(run.load) /
+                               static_cast<double>(run.tail_latency_target_ms));
   }
   return worst_ratio;
 }
@@ -63,22 +56,22 @@
   if (owner.next_throttle_check > context.time.now) return;
   owner.next_throttle_check = context.time.now + kThrottleCheckInterval;
   for (auto& [id, target] : owner.targets) {
-    if (target.next_throttle > context.time.now ||
+    if (target.background_runs == 0 ||
+        target.next_throttle > context.time.now ||
         target.unanswered_polls > 0) {
       continue;
     }
     std::vector<TaskName> background_tasks;
     for (const auto& [name, run] : target.runs) {
-      const Step* step = FindStep(owner, name);
-      const bool is_background = step != nullptr && step->background &&
-                                 run.phase == RunPhase::kRunning;
-      if (is_background) background_tasks.push_back(name);
+      const bool is_active = run.background && run.phase == RunPhase::kRunning;
+      if (is_active) background_tasks.push_back(name);
     }
     if (background_tasks.empty()) continue;
     target.next_throttle = context.time.now + kThrottleInterval;
     // A waiting poll reports no load, so poll at once unless one is pending.
     if (target.pending_poll == 0) target.next_poll = context.time.now;
-    const double worst_ratio = WorstTailRatio(owner, target);
+    AddToNextRound(owner, target);
+    const double worst_ratio = WorstTailRatio(target);
     for (const TaskName& name : background_tasks) {
       Run& run = target.runs.at(name);
       const std::int64_t speed_percent =
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -530,9 +530,12 @@
   job.record = {.id = JobId(1), .pool = "desk", .spec = spec};
   TargetView& target = owner.targets["i-1"];
   target.entry.id = "i-1";
-  target.runs[{JobId(1), 0, 0, 0}] = {
-      .number = 1, .phase = RunPhase::kRunning, .load = tail_ms};
-  target.runs[{JobId(1), 0, 1, 0}] = {.number = 1, .phase = RunPhase::kRunning};
+  job.open_occurrences[0] = NewOccurrence(spec, Instant(seconds(0)));
+  for (const std::int64_t step : {0, 1}) {
+    AddRun(owner, target, job, {JobId(1), 0, step, 0}, 1, Instant(seconds(0)))
+        .phase = RunPhase::kRunning;
+  }
+  target.runs[{JobId(1), 0, 0, 0}].load = tail_ms;
   return owner;
 }
 
