--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -18,6 +18,7 @@
 /// Fallback I/O timeout of h2o (24 hours). Exchanges normally end earlier, at
 /// their own deadlines.
 constexpr std::uint64_t kIoTimeoutMs = 24ULL * 3600 * 1000;
+constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
 
 std::string FormatRequest(const ClientRequest& client_request) {
   const HttpRequest& request = client_request.request;
@@ -34,6 +35,18 @@
   return text;
 }
 
+/// A loop that never runs, for the timers with which h2o closes idle
+/// connections: each pool has one, and a running loop walks all its timers in
+/// each iteration.
+h2o_loop_t* IdleLoop() {
+  static h2o_loop_t* const kLoop = [] {
+    h2o_loop_t* loop = h2o_evloop_create();
+    KeepUntilExit(loop);
+    return loop;
+  }();
+  return kLoop;
+}
+
 /// Makes the coming close reset the connection. A normal close would still
 /// deliver request bytes that are in the send buffer, however late.
 void ResetOnClose(h2o_http1client_t* client) {
@@ -46,10 +59,19 @@
 }  // namespace
 
 struct HttpClient::Impl {
+  /// Connections to one address, which are closed together when the pool has
+  /// been idle.
+  struct Pool {
+    h2o_socketpool_t sockets{};
+    std::int64_t exchanges = 0;  ///< In progress.
+    Instant idle_since{};
+  };
+
   struct Exchange {
     Impl* owner = nullptr;
     std::int64_t number = 0;
     h2o_http1client_t* client = nullptr;
+    Pool* pool = nullptr;  ///< Null for a fresh connection.
     std::string request_text;
     h2o_iovec_t write_buffer{};
     TimerId timer;
@@ -71,24 +93,56 @@
     context.io_timeout = &io_timeout;
   }
 
-  h2o_socketpool_t* FindOrAddPool(const Address& address) {
+  Pool& FindOrAddPool(const Address& address) {
     auto [it, inserted] = pools.try_emplace(address);
     if (inserted) {
       sockaddr_in sa = ToSockaddr(address);
       h2o_socketpool_init_by_address(
-          &it->second, reinterpret_cast<sockaddr*>(&sa), sizeof(sa), 0,
+          &it->second.sockets, reinterpret_cast<sockaddr*>(&sa), sizeof(sa), 0,
           limits.connections_per_address);
-      h2o_socketpool_set_timeout(&it->second, loop.raw(),
+      h2o_socketpool_set_timeout(&it->second.sockets, IdleLoop(),
                                  limits.idle_timeout_ms);
+      if (pools.size() == 1) ScheduleIdleCheck();
+    }
+    return it->second;
+  }
+
+  void ScheduleIdleCheck() {
+    idle_check = loop.CallAt(loop.Now() + kIdleCheckInterval,
+                             [this] { CloseIdlePools(); });
+  }
+
+  void CloseIdlePools() {
+    const Instant idle_limit =
+        loop.Now() - std::chrono::milliseconds(limits.idle_timeout_ms);
+    for (auto it = pools.begin(); it != pools.end();) {
+      Pool& pool = it->second;
+      const bool idle = pool.exchanges == 0 && pool.idle_since <= idle_limit;
+      if (idle) h2o_socketpool_dispose(&pool.sockets);
+      it = idle ? pools.erase(it) : std::next(it);
     }
-    return &it->second;
+    if (!pools.empty()) ScheduleIdleCheck();
+  }
+
+  /// Removes an exchange that has ended.
+  std::unique_ptr<Exchange> Remove(std::int64_t number) {
+    auto it = exchanges.find(number);
+    if (it == exchanges.end()) return nullptr;
+    std::unique_ptr<Exchange> exchange = std::move(it->second);
+    exchanges.erase(it);
+    if (exchange->pool != nullptr) {
+      --exchange->pool->exchanges;
+      exchange->pool->idle_since = loop.Now();
+    }
+    return exchange;
   }
 
   void Connect(Exchange& exchange, const ClientRequest& request) {
     if (!request.fresh_connection) {
+      exchange.pool = &FindOrAddPool(request.address);
+      ++exchange.pool->exchanges;
       h2o_http1client_connect_with_pool(&exchange.client, &exchange, &context,
-                                        FindOrAddPool(request.address),
-                                        OnConnect);
+                                        &exchange.pool->sockets, OnConnect);
       return;
     }
     h2o_http1client_connect(
@@ -109,10 +163,8 @@
   }
 
   void RunCallback(std::int64_t number, TransferResult result) {
-    auto it = exchanges.find(number);
-    if (it == exchanges.end()) return;
-    const std::unique_ptr<Exchange> exchange = std::move(it->second);
-    exchanges.erase(it);
+    const std::unique_ptr<Exchange> exchange = Remove(number);
+    if (exchange == nullptr) return;
     exchange->callback(result, std::move(exchange->response));
   }
 
@@ -194,7 +246,8 @@
   HttpClientLimits limits;
   h2o_http1client_ctx_t context{};
   h2o_timeout_t io_timeout{};
-  std::map<Address, h2o_socketpool_t, AddressLess> pools;
+  std::map<Address, Pool, AddressLess> pools;
+  TimerId idle_check;
   std::unordered_map<std::int64_t, std::unique_ptr<Exchange>> exchanges;
   std::int64_t next_exchange = 1;
 };
@@ -207,7 +260,10 @@
     if (exchange->client != nullptr) h2o_http1client_cancel(exchange->client);
   }
   impl_->exchanges.clear();
-  for (auto& [address, pool] : impl_->pools) h2o_socketpool_dispose(&pool);
+  impl_->loop.CancelTimer(impl_->idle_check);
+  for (auto& [address, pool] : impl_->pools) {
+    h2o_socketpool_dispose(&pool.sockets);
+  }
   h2o_timeout_dispose(impl_->loop.raw(), &impl_->io_timeout);
 }
 
@@ -228,14 +284,12 @@
 }
 
 void HttpClient::Cancel(std::int64_t exchange) {
-  auto it = impl_->exchanges.find(exchange);
-  if (it == impl_->exchanges.end()) return;
-  impl_->loop.CancelTimer(it->second->timer);
-  if (it->second->client != nullptr) {
-    ResetOnClose(it->second->client);
-    h2o_http1client_cancel(it->second->client);
-  }
-  impl_->exchanges.erase(it);
+  const std::unique_ptr<Impl::Exchange> removed = impl_->Remove(exchange);
+  if (removed == nullptr) return;
+  impl_->loop.CancelTimer(removed->timer);
+  if (removed->client == nullptr) return;
+  ResetOnClose(removed->client);
+  h2o_http1client_cancel(removed->client);
 }
 
 }  // namespace hyssopbarrow
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -352,8 +352,11 @@
   const bool sweep = owner.next_sweep <= now;
   if (sweep) {
     owner.next_sweep = now + kSweepInterval;
+    owner.waiting_jobs.clear();
     for (const std::string& id : owner.active_jobs) {
       Job& job = owner.jobs.at(id);
+      const bool waits = !job.has_run && job.record.spec.repeats == 0;
+      if (waits) ++owner.waiting_jobs[job.record.queue];
       const std::size_t open = job.open_occurrences.size();
       OpenDueOccurrences(job, context.time);
       if (job.open_occurrences.size() != open) owner.placement_due = true;
@@ -386,12 +389,8 @@
 }
 
 std::int64_t CountWaitingJobs(const Owner& owner, std::string_view queue) {
-  return std::count_if(owner.active_jobs.begin(), owner.active_jobs.end(),
-                       [&](const std::string& id) {
-                         const Job& job = owner.jobs.at(id);
-                         return job.record.queue == queue && !job.has_run &&
-                                job.record.spec.repeats == 0;
-                       });
+  auto it = owner.waiting_jobs.find(queue);
+  return it == owner.waiting_jobs.end() ? 0 : it->second;
 }
 
 std::optional<JobState> VisibleState(const Owner& owner,
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -215,12 +215,12 @@
   bool targets_loaded = false;
   bool ready = false;  ///< These tables and the configuration are loaded.
 
-  std::map<std::string, Job> jobs;
+  std::unordered_map<std::string, Job> jobs;
   std::set<std::string> active_jobs;  ///< Jobs without a final state.
   /// Progress rows and cancels whose job rows have not arrived yet.
   std::map<std::string, nlohmann::json> unmatched_progress;
   std::set<std::string> unmatched_cancels;
-  std::map<std::string, TargetView> targets;
+  std::unordered_map<std::string, TargetView> targets;
   /// Targets with unknown runs, by the job of the runs.
   std::map<std::string, std::set<std::string>> unknown_run_targets;
   /// Targets with ends that are processed but not stored.
@@ -248,6 +248,9 @@
   std::vector<std::string> next_round_targets;
   Instant next_throttle_check{};
   bool placement_due = true;
+  /// Accepted jobs that have not started, by queue, as of the last sweep. Timed
+  /// jobs, which have `repeats` > 0, are not counted.
+  std::map<std::string, std::int64_t, std::less<>> waiting_jobs;
   std::int64_t start_count = 0;  ///< Runs planned by this owner.
   std::int64_t end_count = 0;    ///< Run ends handled by this owner.
 };
@@ -291,8 +294,7 @@
 /// Latest time of the next AdvanceOwner call.
 Instant NextDeadline(const Owner& owner, Instant now);
 
-/// Number of accepted jobs of `queue` that have not started. Timed jobs, which
-/// have `repeats` > 0, are not counted.
+/// Number of jobs of `queue` in Owner::waiting_jobs.
 std::int64_t CountWaitingJobs(const Owner& owner, std::string_view queue);
 
 /// State to report to callers. `completed` and `failed` are reported only once
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -13,7 +13,7 @@
 
 /// Each pending request uses its own connection, and targets accept 64
 /// connections.
-constexpr std::int64_t kMaxPendingRequestsPerTarget = 8;
+constexpr std::int64_t kMaxPendingRequestsPerTarget = 4;
 /// Run numbers reserved for each epoch, so that those of an owner are above
 /// those of all earlier owners.
 constexpr std::int64_t kRunNumbersPerEpoch = 1000;
