Model: Share one parser of CBOR that never throws

nlohmann's from_cbor throws on excessive lengths even when exceptions are switched off, so that one malformed message can end a process.

--- a/Source/Peer/codec.cc
+++ b/Source/Peer/codec.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "Model/cbor.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -343,16 +344,6 @@
   return kDecoders[kind](array);
 }
 
-/// Returns null for invalid CBOR. from_cbor throws on excessive lengths even
-/// with allow_exceptions set to false.
-nlohmann::json ParseCbor(std::string_view bytes) {
-  try {
-    return nlohmann::json::from_cbor(bytes, true, false);
-  } catch (const nlohmann::json::exception&) {
-    return nullptr;
-  }
-}
-
 }  // namespace
 
 std::string EncodeMessage(const PeerMessage& message) {
--- a/Source/Peer/greeting.cc
+++ b/Source/Peer/greeting.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "Model/cbor.h"
 #include "Model/text.h"
 #include "Peer/codec.h"
 #include "absl/strings/escaping.h"
@@ -28,25 +29,11 @@
           greeting.proof};
 }
 
-std::string ToCbor(const nlohmann::json& json) {
-  std::string bytes;
-  nlohmann::json::to_cbor(json, bytes);
-  return bytes;
-}
-
 std::string ToHex(const unsigned char* data, std::size_t n) {
   return absl::BytesToHexString(
       absl::string_view(reinterpret_cast<const char*>(data), n));
 }
 
-nlohmann::json ParseCborArray(std::string_view bytes) {
-  try {
-    return nlohmann::json::from_cbor(bytes, true, false);
-  } catch (const nlohmann::json::exception&) {
-    return nullptr;
-  }
-}
-
 bool IsValidField(const nlohmann::json& value, std::size_t n) {
   const bool numeric = n == 0 || n == 4;
   if (numeric) return value.is_number_integer();
@@ -61,7 +48,7 @@
 }
 
 absl::StatusOr<Greeting> DecodeGreeting(std::string_view bytes) {
-  const nlohmann::json array = ParseCborArray(bytes);
+  const nlohmann::json array = ParseCbor(bytes);
   if (!array.is_array() || array.size() != kFieldNames.size()) {
     return absl::InvalidArgumentError(
         "greeting: expected a CBOR array of 7 fields");
