Policy, Fleet: Carry target requests through relays

Cause: one owner did all the talking.

An owner that cannot carry its fleet by itself (0.8 targets for each thousandth of a core, 12 for each Mbit/s) now sends target requests through the largest other entry hosts, in batches on one WebSocket each, and gets the replies the same way. The owner still decides everything: a relay only forwards, so fencing tokens, run numbers and leases work as before. A request that waited for more than 0.5 s at the owner is not sent, and a relay executes nothing that arrived while it was paused. A lost relay is replaced at once; polls that it carried do not mark their targets as unresponsive. The starts of a job share a relay, to which the payload goes once.

Ruled out: HTTP exchanges held open as the transport (250 bytes of headers each way, 100 a second on a link of 2 Mbit/s would be a tenth of it).

With it: placement looks only at jobs that changed, replies of hosts are found by index, and a read of the targets table in several pages (over 500 targets) no longer drops the targets of all pages but the last.

--- a/Source/Daemon/main.cc
+++ b/Source/Daemon/main.cc
@@ -69,6 +69,7 @@
           .callers = {"127.0.0.1", 8082},
           .readiness = {"127.0.0.1", 0},
           .peers = {"127.0.0.1", 8083},
+          .relay = {"127.0.0.1", 0},
           .metrics = {"127.0.0.1", 0}};
 }
 
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -146,16 +146,32 @@
                 {.status = 200,
                  .headers = {{"content-type", "text/plain; version=0.0.4"}},
                  .body = FormatMetrics(metrics_, entry_)});
+          }),
+      relay_client_(
+          loop, [this] { return Now().now; },
+          [this](const std::string& address) {
+            HandleEvent([&](const EventTime& time, Effects& effects) {
+              OnRelayLost(entry_, address, time, effects);
+            });
+          }),
+      relay_server_(
+          loop, backend, [this] { return Now().now; },
+          [this](const std::string& reason) {
+            Log(Severity::kWarn, "relay_session_closed", {{"reason", reason}});
           }) {
   entry_.timing = settings.timing;
   entry_.self = {.node = settings.node,
                  .holder = settings.holder,
                  .address = ToString(settings.peers),
-                 .cpu_milli = settings.cpu_milli};
+                 .cpu_milli = settings.cpu_milli,
+                 .link_mbps = settings.link_mbps,
+                 .relay_address = ToString(settings.relay),
+                 .data_centre = settings.data_centre};
 }
 
 absl::Status EntryHost::Start() {
   absl::Status status = peer_server_.Listen(settings_.peers);
+  status.Update(relay_server_.Listen(settings_.relay));
   status.Update(metrics_server_.Listen(settings_.metrics));
   status.Update(readiness_server_.Listen(settings_.readiness));
   status.Update(caller_server_.Listen(settings_.callers));
@@ -189,6 +205,7 @@
 
 Duration EntryHost::Tick() {
   EventTime time = Now();
+  relay_server_.Tick();
   if (next_tick_ <= time.now) {
     HandleEvent([this](const EventTime& event_time, Effects& effects) {
       OnTick(entry_, event_time, effects);
@@ -315,8 +332,13 @@
     backend_.Commit(*commit, MakeReplyHandler("store_commit", commit->id,
                                               HandleStoreReply));
   } else if (const auto* request = std::get_if<TargetRequest>(&effect)) {
-    backend_.Send(*request, MakeReplyHandler(SystemLabel(*request), request->id,
-                                             ForwardTargetReply));
+    const auto handler = MakeReplyHandler(SystemLabel(*request), request->id,
+                                          ForwardTargetReply);
+    if (request->relay.empty()) {
+      backend_.Send(*request, handler);
+    } else {
+      relay_client_.Send(*request, handler);
+    }
   } else if (const auto* approval = std::get_if<ApprovalRequest>(&effect)) {
     backend_.RequestApproval(
         *approval,
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -10,6 +10,8 @@
 #include "Fleet/backend.h"
 #include "Fleet/decision_log.h"
 #include "Fleet/fleet_metrics.h"
+#include "Fleet/relay_client.h"
+#include "Fleet/relay_server.h"
 #include "Http/event_loop.h"
 #include "Http/http_client.h"
 #include "Http/http_server.h"
@@ -24,9 +26,13 @@
   std::string node;
   std::string holder;          ///< NODE@INSTANCE, differs between instances.
   std::int64_t cpu_milli = 0;  ///< CPU share; 0 if it is not known.
+  std::int64_t link_mbps = 0;  ///< Bandwidth; 0 if it is not known.
+  std::string data_centre;
   Address callers;
   Address readiness;
   Address peers;  ///< To which other entry hosts send queries.
+  /// At which the owner sends target requests for this host to carry.
+  Address relay;
   Address metrics;
   Duration stop_timeout{};  ///< From the request to stop to the process's end.
   TimingSettings timing;
@@ -104,6 +110,8 @@
   HttpServer readiness_server_;
   HttpServer peer_server_;
   HttpServer metrics_server_;
+  RelayClient relay_client_;
+  RelayServer relay_server_;
   std::map<std::int64_t, WaitingCaller> waiting_callers_;  ///< By call number.
   std::int64_t next_call_number_ = 1;
   Instant next_tick_{};
--- a/Source/Policy/candidacy.cc
+++ b/Source/Policy/candidacy.cc
@@ -22,11 +22,28 @@
 constexpr Duration kCandidacyWriteInterval = milliseconds(5000);
 constexpr Duration kCandidacyRetryDelay = milliseconds(1000);
 constexpr const char* kCpuField = "cpu_milli";
+constexpr const char* kLinkField = "link_mbps";
+constexpr const char* kRelayField = "relay_address";
+constexpr const char* kDataCentreField = "data_centre";
 
 std::string NodeOf(const std::string& holder) {
   return holder.substr(0, holder.find('@'));
 }
 
+/// Value of a number field; 0 if it is missing or no integer.
+std::int64_t IntegerField(const nlohmann::json& row, const char* name) {
+  const auto it = row.find(name);
+  return it != row.end() && it->is_number_integer() ? it->get<std::int64_t>()
+                                                    : 0;
+}
+
+/// Value of a text field; empty if it is missing or no text.
+std::string TextField(const nlohmann::json& row, const char* name) {
+  const auto it = row.find(name);
+  return it != row.end() && it->is_string() ? it->get<std::string>()
+                                            : std::string();
+}
+
 std::int64_t CandidateCpuMilli(const EntryState& entry,
                                const std::string& node) {
   auto it = entry.ownership.candidates.find(node);
@@ -44,10 +61,11 @@
 bool ApplyCandidateRow(EntryState& entry, const Row& row) {
   std::string_view node = row.key;
   if (!ConsumePrefix(node, kCandidatePrefix)) return false;
-  const auto cpu = row.value.find(kCpuField);
-  const bool readable = cpu != row.value.end() && cpu->is_number_integer();
   entry.ownership.candidates[std::string(node)] = {
-      .cpu_milli = readable ? cpu->get<std::int64_t>() : 0,
+      .cpu_milli = IntegerField(row.value, kCpuField),
+      .link_mbps = IntegerField(row.value, kLinkField),
+      .relay_address = TextField(row.value, kRelayField),
+      .data_centre = TextField(row.value, kDataCentreField),
       .revision = row.revision};
   return true;
 }
@@ -82,9 +100,12 @@
   ownership.pending_candidacy_write = context.next_id++;
   ownership.next_candidacy_write = context.time.now + kCandidacyWriteInterval;
   CommitRows commit{.id = ownership.pending_candidacy_write};
-  commit.writes = {
-      {{Table::kOwner, StrCat(kCandidatePrefix, entry.self.node)},
-       {{kCpuField, entry.self.cpu_milli}, {"holder", entry.self.holder}}}};
+  commit.writes = {{{Table::kOwner, StrCat(kCandidatePrefix, entry.self.node)},
+                    {{kCpuField, entry.self.cpu_milli},
+                     {kLinkField, entry.self.link_mbps},
+                     {kRelayField, entry.self.relay_address},
+                     {kDataCentreField, entry.self.data_centre},
+                     {"holder", entry.self.holder}}}};
   context.out.emplace_back(std::move(commit));
 }
 
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Policy/entry_internal.h"
+#include "Policy/relays.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -41,7 +42,13 @@
   if (const TableUpdate targets =
           HandleTableReply(entry.targets_follower, id, reply, context);
       targets.matched) {
+    if (targets.first_page) owner.targets_read.clear();
     if (targets.has_rows) {
+      if (targets.full_read) {
+        for (const Target& target : reply.targets) {
+          owner.targets_read.insert(target.id);
+        }
+      }
       ApplyTargetRows(owner, reply, targets.full_read && targets.loaded,
                       context);
     }
@@ -72,6 +79,10 @@
     } else {
       AdvanceTableFollower(entry.jobs_follower, context);
     }
+    if (entry.owner->next_sweep <= context.time.now) {
+      AssignRelays(*entry.owner, entry.ownership.candidates, entry.self,
+                   context);
+    }
     AdvanceOwner(*entry.owner, context);
   }
   AdvanceCalls(entry, context);
@@ -169,6 +180,14 @@
                  AfterReply::kWait);
 }
 
+void OnRelayLost(EntryState& entry, const std::string& address,
+                 const EventTime& time, Effects& out) {
+  if (!entry.owner.has_value()) return;
+  Context context = MakeEventContext(entry, time, out);
+  HandleRelayLost(*entry.owner, address, entry.ownership.candidates, entry.self,
+                  context);
+}
+
 void OnStop(EntryState& entry, const EventTime& time, Effects& out) {
   if (entry.stopping) return;
   entry.stopping = true;
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -18,6 +18,9 @@
   std::string holder;          ///< NODE@INSTANCE, differs between instances.
   std::string address;         ///< To which other entry hosts send queries.
   std::int64_t cpu_milli = 0;  ///< CPU share; 0 if it is not known.
+  std::int64_t link_mbps = 0;  ///< Bandwidth; 0 if it is not known.
+  std::string relay_address;   ///< At which it carries target requests.
+  std::string data_centre;
 
   friend bool operator==(const Identity&, const Identity&) = default;
 };
@@ -39,7 +42,10 @@
 /// What an entry host has announced about itself.
 struct Candidate {
   std::int64_t cpu_milli = 0;  ///< Thousandths of a core.
-  std::int64_t revision = 0;   ///< Of the row that announces it.
+  std::int64_t link_mbps = 0;  ///< Bandwidth of its link.
+  std::string relay_address;   ///< Empty if it carries no target requests.
+  std::string data_centre;
+  std::int64_t revision = 0;  ///< Of the row that announces it.
 
   friend bool operator==(const Candidate&, const Candidate&) = default;
 };
@@ -157,6 +163,10 @@
 void HandleOwnerReply(EntryState& entry, std::int64_t id,
                       const OwnerReply& reply, const EventTime& time,
                       Effects& out);
+/// Handles the loss of the connection to a relay. The requests that it carried
+/// are answered separately, with kRelayLost.
+void OnRelayLost(EntryState& entry, const std::string& address,
+                 const EventTime& time, Effects& out);
 /// Releases the ownership because the process is to stop.
 void OnStop(EntryState& entry, const EventTime& time, Effects& out);
 
--- a/Source/Policy/entry_internal.h
+++ b/Source/Policy/entry_internal.h
@@ -14,10 +14,11 @@
 
 /// Result of HandleTableReply.
 struct TableUpdate {
-  bool matched = false;    ///< The reply belongs to this follower.
-  bool has_rows = false;   ///< The reply's rows can be applied.
-  bool full_read = false;  ///< The rows are part of a read of the whole table.
-  bool loaded = false;     ///< The whole table has been read.
+  bool matched = false;     ///< The reply belongs to this follower.
+  bool has_rows = false;    ///< The reply's rows can be applied.
+  bool full_read = false;   ///< The rows are part of a read of the whole table.
+  bool first_page = false;  ///< The rows are the first page of such a read.
+  bool loaded = false;      ///< The whole table has been read.
 };
 
 /// Handles the store's reply to a read or a watch of the follower.
--- a/Source/Policy/fleet_effects.cc
+++ b/Source/Policy/fleet_effects.cc
@@ -26,6 +26,8 @@
       return "not_sent";
     case TargetResult::kNoReply:
       return "no_reply";
+    case TargetResult::kRelayLost:
+      return "relay_lost";
   }
   return "no_reply";
 }
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -91,6 +91,9 @@
   TargetRequestKind kind = TargetRequestKind::kPoll;
   std::string target;
   std::string address;
+  /// Address of the entry host that carries the request; empty if the owner
+  /// sends it itself.
+  std::string relay;
   /// Epoch of the owner. Targets reject a token lower than one seen before.
   std::int64_t fencing_token = 0;
   /// On the target's clock. The target ends all runs then unless a later
@@ -120,6 +123,7 @@
   kOtherInstance,  ///< Another target instance has this address.
   kNotSent,        ///< No connection; nothing was sent.
   kNoReply,        ///< The request may still take effect.
+  kRelayLost,      ///< As kNoReply, but says nothing about the target.
 };
 
 std::string_view ToString(TargetResult result);
--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -180,6 +180,7 @@
                      host.request_sent && host.host.pool == host.destination;
   if (moved) return;
   host.pending_request = context_.next_id++;
+  host_manager_.host_by_request[host.pending_request] = host.host.name;
   host.request_sent = true;
   host.request_sent_at = now();
   HostRequest request{.id = host.pending_request, .host = host.host.name};
@@ -240,8 +241,12 @@
 
 bool HandleHostReply(Owner& owner, std::int64_t id, HostRequestResult result,
                      Context& context) {
-  for (auto& [name, host] : owner.host_manager.hosts) {
-    if (host.pending_request != id) continue;
+  const auto node = owner.host_manager.host_by_request.extract(id);
+  if (node.empty()) return false;
+  auto it = owner.host_manager.hosts.find(node.mapped());
+  if (it != owner.host_manager.hosts.end()) {
+    const std::string& name = it->first;
+    HostView& host = it->second;
     host.pending_request = 0;
     host.retry_at = context.time.now + kHostRequestRetryDelay;
     Log(context,
@@ -255,7 +260,7 @@
                            result == HostRequestResult::kBusy;
     if (result == HostRequestResult::kDone) {
       for (auto& [target_id, target] : owner.targets) {
-        const bool reserved_here = target.entry.host == name && target.reserved;
+        const bool reserved_here = target.reserved && target.entry.host == name;
         if (reserved_here) {
           RetireTarget(owner, target, "its host was moved or maintained",
                        context);
@@ -281,9 +286,8 @@
                result == HostRequestResult::kFenced) {
       host.request_sent = false;
     }
-    return true;
   }
-  return false;
+  return true;
 }
 
 bool HandleWaveRowReply(Owner& owner, std::int64_t id, StoreStatus status,
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -127,6 +127,7 @@
   if (!IsFinal(job.state)) {
     OpenDueOccurrences(job, context.time);
     owner.active_jobs.insert(id);
+    owner.placeable_jobs.insert(id);
     assignments = ExtractAssignments(job);
   }
   if (live) {
@@ -266,9 +267,7 @@
 
 void ApplyTargetRows(Owner& owner, const StoreRows& rows, bool whole,
                      Context& context) {
-  std::set<std::string> present;
   for (const Target& entry : rows.targets) {
-    present.insert(entry.id);
     auto [view, inserted] = owner.targets.try_emplace(entry.id);
     TargetView& target = view->second;
     const bool restarted =
@@ -306,8 +305,9 @@
   std::vector<std::string> removed = rows.removed_targets;
   if (whole) {
     for (const auto& [id, target] : owner.targets) {
-      if (present.count(id) == 0) removed.push_back(id);
+      if (owner.targets_read.count(id) == 0) removed.push_back(id);
     }
+    owner.targets_read.clear();
   }
   for (const std::string& id : removed) {
     auto target = owner.targets.find(id);
@@ -362,6 +362,7 @@
       if (job.open_occurrences.size() != open) owner.placement_due = true;
     }
     RemoveUnlistedTargets(owner, context);
+    owner.all_jobs_placeable = true;
     owner.placement_due = true;
   }
   UpdateReady(owner, context);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -118,6 +118,7 @@
   /// A start waits because too many requests are pending.
   bool start_deferred = false;
   bool reserved = false;       ///< Being emptied for a move or maintenance.
+  std::string relay;           ///< Node of its relay; empty if there is none.
   bool in_next_round = false;  ///< In Owner::next_round_targets.
   std::map<TaskName, UnknownRun> unknown_runs;
   /// Jobs with failed runs here since such failures last made the owner avoid
@@ -183,6 +184,8 @@
   std::int64_t pending_host_list = 0;  ///< Request id; 0 if none.
   Instant next_host_list{};
   Instant host_list_received_at{};
+  /// Hosts by the id of their pending request.
+  std::unordered_map<std::int64_t, std::string> host_by_request;
   Instant next_plan{};
   /// When a pool last needed more hosts than were available, by pool.
   std::map<std::string, Instant> last_saturated;
@@ -200,6 +203,16 @@
   std::vector<std::pair<TaskName, Assignment>> starts_to_send;
 };
 
+/// An entry host that carries requests between the owner and targets.
+struct Relay {
+  std::string address;
+  std::string data_centre;
+  std::int64_t capacity = 0;  ///< Number of targets that it can carry.
+  std::int64_t targets = 0;   ///< Number of targets assigned to it.
+  std::int64_t failures = 0;  ///< Losses since it last worked for long.
+  Instant usable_from{};      ///< Not used before, after a loss.
+};
+
 /// State of the owner of the fleet.
 struct Owner {
   std::int64_t epoch = 0;
@@ -217,10 +230,16 @@
 
   std::unordered_map<std::string, Job> jobs;
   std::set<std::string> active_jobs;  ///< Jobs without a final state.
+  /// Active jobs that may have a task to place; all of them if
+  /// `all_jobs_placeable` is set, as in each sweep.
+  std::set<std::string> placeable_jobs;
+  bool all_jobs_placeable = true;
   /// Progress rows and cancels whose job rows have not arrived yet.
   std::map<std::string, nlohmann::json> unmatched_progress;
   std::set<std::string> unmatched_cancels;
   std::unordered_map<std::string, TargetView> targets;
+  /// Targets in the pages received so far of a read of the whole table.
+  std::set<std::string> targets_read;
   /// Targets with unknown runs, by the job of the runs.
   std::map<std::string, std::set<std::string>> unknown_run_targets;
   /// Targets with ends that are processed but not stored.
@@ -230,6 +249,7 @@
       pending_target_requests;
   std::map<std::string, Approval> approvals;  ///< By step.
   HostManager host_manager;
+  std::map<std::string, Relay> relays;  ///< By node.
 
   std::set<std::string> changed_jobs;
   std::optional<PendingCommit> pending_commit;
@@ -259,7 +279,8 @@
 bool MaySendTargetRequests(const Owner& owner, Instant now);
 
 /// Apply rows of the tables that the owner follows. `live` is false while the
-/// jobs table is being loaded; `whole` is true if `rows` is the whole table.
+/// jobs table is being loaded; `whole` is true if `rows` is the last page of a
+/// read of the whole table, whose targets are in Owner::targets_read.
 /// A progress row of a job takes effect when the row of the job is applied.
 void ApplyJobRows(Owner& owner, const StoreRows& rows, bool live,
                   Context& context);
--- a/Source/Policy/owner_ends.cc
+++ b/Source/Policy/owner_ends.cc
@@ -34,6 +34,7 @@
   const Step& step = StepOf(job, end.task.step);
   if (step.long_running || IsFinal(job.state)) return;
   if (!MarkTaskDone(job, end.task)) return;
+  owner.placeable_jobs.insert(job.record.id);
   MarkJobChanged(owner, job);
   StopOtherRuns(owner, job, end.task, context);
   CloseOccurrenceIfComplete(job, end.task.occurrence);
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -56,14 +56,15 @@
 void DropVanishedRuns(Owner& owner, TargetView& target,
                       const TargetReply& reply, Instant sent_at,
                       Context& context) {
-  std::set<TaskName> reported;
-  for (const ReportedRun& run : reply.runs) reported.insert(run.task);
   std::vector<TaskName> vanished;
   for (const auto& [name, run] : target.runs) {
     const bool settled =
         (run.confirmed_at && *run.confirmed_at < sent_at) ||
         (run.stop_confirmed_at && *run.stop_confirmed_at < sent_at);
-    if (settled && reported.count(name) == 0) vanished.push_back(name);
+    const bool reported = std::any_of(
+        reply.runs.begin(), reply.runs.end(),
+        [&task = name](const ReportedRun& it) { return it.task == task; });
+    if (settled && !reported) vanished.push_back(name);
   }
   for (const TaskName& name : vanished) {
     Log(context, Severity::kWarn, "run_vanished",
@@ -158,6 +159,7 @@
       if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
       return;
     case TargetResult::kNoReply:
+    case TargetResult::kRelayLost:
       run.start_outcome_unknown = true;
       run.retry_at = now + kUnansweredRetryDelay;
       return;
@@ -202,6 +204,7 @@
   if (it == target.runs.end() || it->second.number != request.run) return;
   it->second.request_pending = false;
   const bool answered = reply.result != TargetResult::kNoReply &&
+                        reply.result != TargetResult::kRelayLost &&
                         reply.result != TargetResult::kNotSent &&
                         reply.result != TargetResult::kUnhealthy;
   if (answered) {
@@ -317,9 +320,12 @@
       target.retired) {
     return true;
   }
+  const bool relay_lost = reply.result == TargetResult::kRelayLost;
   const bool responsive = reply.result != TargetResult::kNoReply &&
-                          reply.result != TargetResult::kNotSent;
-  if (!responsive) {
+                          reply.result != TargetResult::kNotSent && !relay_lost;
+  if (relay_lost) {
+    if (is_poll) target.next_poll = now;
+  } else if (!responsive) {
     // Only unanswered polls mark a target as unresponsive.
     if (is_poll && target.unanswered_polls++ == 0) {
       Log(context, Severity::kWarn, "target_unresponsive",
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Policy/relays.h"
+
 namespace hyssopbarrow::fleet {
 namespace {
 
@@ -175,6 +177,7 @@
       });
       if (!run.checkpoint.empty()) task->checkpoint = run.checkpoint;
     }
+    owner.placeable_jobs.insert(name.job);
   }
   target.runs.erase(it);
   owner.placement_due = true;
@@ -251,6 +254,7 @@
   request.id = context.next_id++;
   request.target = target.entry.id;
   request.address = target.entry.address;
+  request.relay = RelayAddress(owner, target, request, context.time.now);
   request.fencing_token = owner.epoch;
   request.timeout = kTargetRequestTimeout + request.wait;
   request.fresh_connection = target.unanswered_polls > 0;
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -114,18 +114,28 @@
       pools_[target.entry.pool].targets.push_back(
           {FreeResources(target), &target});
     }
-    for (const std::string& id : owner_.active_jobs) {
-      Job& job = owner_.jobs.at(id);
-      for (auto& [number, occurrence] : job.open_occurrences) {
-        if (!HasRunnableTask(job, occurrence)) continue;
-        const Queue* queue = QueueOf(job);
-        auto pool =
-            pools_.find(queue == nullptr ? job.record.pool : queue->pool);
-        if (pool == pools_.end()) continue;
-        pool->second.candidates.push_back(
-            MakeCandidate(job, queue, number, occurrence));
-      }
+    if (owner_.all_jobs_placeable) owner_.placeable_jobs = owner_.active_jobs;
+    owner_.all_jobs_placeable = false;
+    std::erase_if(owner_.placeable_jobs, [this](const std::string& id) {
+      auto it = owner_.jobs.find(id);
+      return it == owner_.jobs.end() || !CollectCandidatesOf(it->second);
+    });
+  }
+
+  /// Adds the candidates of a job. Returns false if it has no task to place.
+  bool CollectCandidatesOf(Job& job) {
+    bool placeable = false;
+    if (IsFinal(job.state)) return false;
+    for (auto& [number, occurrence] : job.open_occurrences) {
+      if (!HasRunnableTask(job, occurrence)) continue;
+      placeable = true;
+      const Queue* queue = QueueOf(job);
+      auto pool = pools_.find(queue == nullptr ? job.record.pool : queue->pool);
+      if (pool == pools_.end()) continue;
+      pool->second.candidates.push_back(
+          MakeCandidate(job, queue, number, occurrence));
     }
+    return placeable;
   }
 
   bool IsRunnable(const Task& task) const {
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -68,7 +68,8 @@
   result.full_read = true;
   // The parts of a long read have different revisions. The watch starts from
   // the first one, so that it reports changes made during the read.
-  if (follower.next_key.empty()) follower.read_revision = reply.revision;
+  result.first_page = follower.next_key.empty();
+  if (result.first_page) follower.read_revision = reply.revision;
   if (reply.truncated) {
     // Sorts after the last key that was read and before the key after it.
     follower.next_key = reply.last_key + '\x01';
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -17,6 +17,7 @@
 constexpr std::int64_t kRestartDelayUs = 500'000;
 constexpr std::int64_t kUnlistDelayUs = 4'500'000;
 constexpr std::int64_t kCallTimeoutUs = 3'000'000;
+constexpr std::int64_t kRelayLostUs = 1'000'000;
 constexpr std::int64_t kMaxAttempts = 2;
 constexpr char kHostName[] = "jobs.example";
 
@@ -93,7 +94,10 @@
   const std::string node = StrCat("node-", n);
   host.state->self = {.node = node,
                       .holder = StrCat(node, "@", host.instance),
-                      .address = std::to_string(n)};
+                      .address = std::to_string(n),
+                      .link_mbps = link_mbps,
+                      .relay_address = std::to_string(n),
+                      .data_centre = "a"};
   if (ToIndex(n) < cpu_milli.size()) {
     host.state->self.cpu_milli = cpu_milli[ToIndex(n)];
   }
@@ -339,7 +343,47 @@
       RandomLatencyUs());
 }
 
+bool FleetSimulation::IsRelayUp(int n, std::int64_t instance) const {
+  const SimulatedEntry& host = entries_[ToIndex(n)];
+  return host.state != nullptr && host.instance == instance &&
+         host.frozen_until_us <= now_us_;
+}
+
+void FleetSimulation::DeliverRelayLost(int n, const TargetRequest& request) {
+  DeliverEvent(
+      n,
+      [this, id = request.id, relay = request.relay](EntryState& entry,
+                                                     Effects& out) {
+        OnRelayLost(entry, relay, CurrentTime(), out);
+        ForwardTargetReply(entry, id, {.result = TargetResult::kRelayLost},
+                           CurrentTime(), out);
+      },
+      kRelayLostUs);
+}
+
 void FleetSimulation::SendTargetRequest(int n, const TargetRequest& request) {
+  const int carrier = request.relay.empty() ? n : std::stoi(request.relay);
+  const std::int64_t carrier_instance = entries_[ToIndex(carrier)].instance;
+  if (carrier != n) {
+    ++relayed_count;
+    if (!IsRelayUp(carrier, carrier_instance)) {
+      DeliverRelayLost(n, request);
+      // A frozen relay may execute the request once it runs again.
+      const std::int64_t frozen_us =
+          entries_[ToIndex(carrier)].frozen_until_us - now_us_;
+      if (frozen_us > 0) {
+        TargetRequest late = request;
+        late.relay.clear();
+        DeliverEvent(
+            carrier,
+            [this, carrier, late](EntryState&, Effects&) {
+              SendTargetRequest(carrier, late);
+            },
+            frozen_us);
+      }
+      return;
+    }
+  }
   const auto found = std::find_if(
       targets_.begin(), targets_.end(), [&](const SimulatedTarget& candidate) {
         return candidate.tasks.entry.id == request.target;
@@ -352,7 +396,7 @@
   };
   const bool unreachable =
       found == targets_.end() || found->down ||
-      entries_[ToIndex(n)].disconnected_targets.count(target) > 0;
+      entries_[ToIndex(carrier)].disconnected_targets.count(target) > 0;
   const std::int64_t wait = request.wait.count();
   if (unreachable) {
     DeliverEvent(n, answer({}), kRequestTimeoutUs + wait);
@@ -371,7 +415,7 @@
   const bool lost = Random() < faults.lost_reply_share;
   ScheduleAfter(
       Duration(RandomLatencyUs()),
-      [this, n, target, request, answer, lost, wait,
+      [this, n, target, request, answer, lost, wait, carrier, carrier_instance,
        instance = entries_[ToIndex(n)].instance] {
         SimulatedTarget& target_state = targets_[ToIndex(target)];
         if (target_state.down) return;
@@ -379,8 +423,12 @@
         const bool waits = request.kind == TargetRequestKind::kPoll &&
                            wait > 0 && reply.ends.empty() &&
                            reply.result == TargetResult::kDone;
-        const auto send_reply = [this, n, instance, answer,
-                                 lost](const TargetReply& sent_reply) {
+        const auto send_reply = [this, n, instance, answer, lost, request,
+                                 carrier, carrier_instance](
+                                    const TargetReply& sent_reply) {
+          const bool relay_lost =
+              carrier != n && !IsRelayUp(carrier, carrier_instance);
+          if (relay_lost) return DeliverRelayLost(n, request);
           ScheduleAfter(Duration(lost ? kRequestTimeoutUs : RandomLatencyUs()),
                         [this, n, instance, answer, lost, sent_reply] {
                           RunEvent(n, instance,
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -42,6 +42,9 @@
 
   /// CPU shares of the entry hosts; take effect at their next start.
   std::vector<std::int64_t> cpu_milli;
+  /// Bandwidth of all entry hosts; takes effect as `cpu_milli`. With 0, no host
+  /// carries target requests for another.
+  std::int64_t link_mbps = 0;
 
   void KillEntry(int n);  ///< Restarts 0.5 s later.
   void StopEntry(int n);  ///< Planned stop; restarts 1 s later.
@@ -82,8 +85,9 @@
   Duration task_duration = std::chrono::milliseconds(400);
   Duration stop_duration{};  ///< From a stop request to the end of the run.
   std::vector<std::string> violations;
-  std::int64_t event_count = 0;  ///< Handled by all entry hosts.
-  Duration decision_time{};      ///< Spent in decision code.
+  std::int64_t event_count = 0;    ///< Handled by all entry hosts.
+  std::int64_t relayed_count = 0;  ///< Target requests carried by relays.
+  Duration decision_time{};        ///< Spent in decision code.
 
  private:
   struct SimulatedEntry {
@@ -124,6 +128,10 @@
   void WatchTable(int n, std::int64_t instance, const WatchRows& request,
                   std::int64_t until_us);
   void SendTargetRequest(int n, const TargetRequest& request);
+  /// True if the entry host can carry a target request.
+  bool IsRelayUp(int n, std::int64_t instance) const;
+  /// Tells entry host `n` that the relay of a request is lost.
+  void DeliverRelayLost(int n, const TargetRequest& request);
   TargetReply ExecuteTargetRequest(int target, const TargetRequest& request);
   /// Ends a run `stop_duration` after its stop request.
   void StopRunLater(int target, const TargetRequest& request);
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -560,6 +560,41 @@
       std::min<std::int64_t>(100, percent + 15));
 }
 
+/// Reply with targets `first` to `last` of a read of the targets table.
+StoreRows TargetsPage(int first, int last, bool truncated) {
+  StoreRows page{.status = StoreStatus::kOk, .revision = 5};
+  for (int n = first; n <= last; ++n) {
+    page.targets.push_back({.id = StrCat("i-", n), .pool = "desk"});
+    page.last_key = page.targets.back().id;
+  }
+  page.truncated = truncated;
+  return page;
+}
+
+TEST_CASE("a table of targets that is read in pages keeps all of them") {
+  EntryState entry;
+  entry.owner.emplace();
+  TableFollower& follower = entry.targets_follower;
+  const auto reply = [&](const StoreRows& page) {
+    Effects out;
+    follower.pending_request = 1000;
+    HandleStoreReply(entry, 1000, page, {.now = Instant(seconds(10))}, out);
+  };
+  reply(TargetsPage(0, 4, true));
+  reply(TargetsPage(5, 9, false));
+  CHECK(entry.owner->targets.size() == 10);
+  // The store forgets its history, and the table is read again.
+  StoreRows lost;
+  lost.history_lost = true;
+  reply(lost);
+  reply(TargetsPage(0, 4, true));
+  reply(TargetsPage(6, 9, false));
+  for (const auto& [id, target] : entry.owner->targets) {
+    CAPTURE(id);
+    CHECK(target.listed == (id != "i-5"));
+  }
+}
+
 TEST_CASE("the duration of a wave starts when the first owner saw it") {
   Owner owner;
   ContextFixture fixture;
--- a/Tests/Fleet/placement_test.cc
+++ b/Tests/Fleet/placement_test.cc
@@ -48,6 +48,7 @@
     job.accepted_at = accepted;
     job.open_occurrences[0] = NewOccurrence(job.record.spec, accepted);
     owner.active_jobs.insert(id);
+    owner.placeable_jobs.insert(id);
     return job;
   }
 
