Platform: Spread job rows over partitions and write progress in CBOR

Cause: a partition of the store carries out one transaction at a time, 300 a second. All rows shared one, so that the inserts of jobs by all entry hosts (200 to 300 a second in a turn) queued in front of the owner's commits and renewals.

The rows of jobs are now in eight partitions by a hash of the job's id, where the store allows transactions that span partitions; the deletion of expired jobs needs that. Rows in JSON of earlier versions are still read, but jobs in the former partition are not: stop all hosts before the upgrade.

--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -224,13 +225,59 @@
   CHECK(status(410, "").history_lost);
 }
 
+TEST_CASE("a conflict reply gives the revisions of rows in CBOR") {
+  // {"epoch": 1, "sequence": 2} in CBOR, as commits write it.
+  const fleet::StoreRows rows = DecodeRows(
+      Table::kJobs,
+      MakeResponse(
+          412,
+          R"({"Ver":9,"rows":[{"Table":"progress","part":"fleet",)"
+          R"("Key":"commit","Value":"omVlcG9jaAFoc2VxdWVuY2UC","Ver":8}]})"));
+  CHECK(rows.status == StoreStatus::kConflict);
+  CHECK(rows.errors.empty());
+  REQUIRE(rows.rows.size() == 1);
+  CHECK(rows.rows[0].revision == 8);
+  CHECK(rows.rows[0].value == json{{"epoch", 1}, {"sequence", 2}});
+}
+
+TEST_CASE("a progress row in CBOR with an excessive length is left out") {
+  // 0xbb begins a map whose size follows in 8 bytes.
+  const fleet::StoreRows rows = DecodeRows(
+      Table::kProgress,
+      MakeResponse(200, R"({"Ver":9,"rows":[{"Key":"a","Value":"u///////////",)"
+                        R"("Ver":8}]})"));
+  CHECK(rows.status == StoreStatus::kOk);
+  CHECK(rows.rows.empty());
+  CHECK(rows.errors.size() == 1);
+}
+
+TEST_CASE("the rows of a job share a partition, and jobs are spread") {
+  CHECK(PartName(Table::kJobs, kJobId, 1) == "fleet");
+  CHECK(PartName(Table::kProgress, kJobId, 8) == "fleet");
+  CHECK(PartName(Table::kOwner, "epoch", 8) == "fleet");
+  CHECK(PartName(Table::kTargets, "i-1", 8).empty());
+  std::map<std::string, int> jobs_by_part;
+  for (int n = 0; n < 800; ++n) {
+    const std::string id = "00000000000" + std::to_string(10000 + n);
+    const std::string part = PartName(Table::kJobs, id, 8);
+    CHECK(PartName(Table::kJobs, id + ".x", 8) == part);
+    ++jobs_by_part[part];
+  }
+  CHECK(jobs_by_part.size() == 8);
+  for (const auto& [part, jobs] : jobs_by_part) {
+    CAPTURE(part);
+    CHECK(jobs > 60);
+    CHECK(jobs < 140);
+  }
+}
+
 TEST_CASE("EncodeCommit encodes conditions, writes and removals") {
   fleet::CommitRows commit;
   commit.conditions = {{{Table::kOwner, "epoch"}, 7}};
   commit.writes = {{{Table::kJobs, kJobId}, {{"queue", "q"}}},
                    {{Table::kProgress, kJobId}, nullptr},
                    {{Table::kWaves, "wave/1"}, {{"completed", true}}}};
-  const json body = json::parse(EncodeCommit(commit));
+  const json body = json::parse(EncodeCommit(commit, 1));
   CHECK(body["Expect"][0]["Ver"] == 7);
   CHECK(body["Expect"][0]["Table"] == "owner");
   CHECK(body["SetKeys"].size() == 2);
