Policy: Count waiting jobs when an owner becomes ready

Ruled out: rows that had not arrived, as the same owner started those jobs. The test failed first (0 == 1).

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -146,12 +146,22 @@
   if (owner.unmatched_cancels.erase(id) > 0) CancelJob(owner, id, context);
 }
 
+void RecountWaitingJobs(Owner& owner) {
+  owner.waiting_jobs.clear();
+  for (const std::string& id : owner.active_jobs) {
+    const Job& job = owner.jobs.at(id);
+    const bool waits = !job.has_run && job.record.spec.repeats == 0;
+    if (waits) ++owner.waiting_jobs[job.record.queue];
+  }
+}
+
 void UpdateReady(Owner& owner, Context& context) {
   if (owner.ready) return;
   const bool loaded = owner.jobs_loaded && owner.progress_loaded &&
                       owner.targets_loaded && context.configuration != nullptr;
   if (!loaded) return;
   owner.ready = true;
+  RecountWaitingJobs(owner);
   owner.next_full_round = context.time.now;
   ScheduleRound(owner, context.time.now);
   Log(context, Severity::kInfo, "owner_ready",
@@ -352,15 +362,13 @@
   const bool sweep = owner.next_sweep <= now;
   if (sweep) {
     owner.next_sweep = now + kSweepInterval;
-    owner.waiting_jobs.clear();
     for (const std::string& id : owner.active_jobs) {
       Job& job = owner.jobs.at(id);
-      const bool waits = !job.has_run && job.record.spec.repeats == 0;
-      if (waits) ++owner.waiting_jobs[job.record.queue];
       const std::size_t open = job.open_occurrences.size();
       OpenDueOccurrences(job, context.time);
       if (job.open_occurrences.size() != open) owner.placement_due = true;
     }
+    RecountWaitingJobs(owner);
     RemoveUnlistedTargets(owner, context);
     owner.all_jobs_placeable = true;
     owner.placement_due = true;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -268,7 +268,8 @@
   std::vector<std::string> next_round_targets;
   Instant next_throttle_check{};
   bool placement_due = true;
-  /// Accepted jobs that have not started, by queue, as of the last sweep. Timed
+  /// Accepted jobs that have not started, by queue, as of the last sweep or
+  /// of the moment at which the owner was ready. Timed
   /// jobs, which have `repeats` > 0, are not counted.
   std::map<std::string, std::int64_t, std::less<>> waiting_jobs;
   std::int64_t start_count = 0;  ///< Runs planned by this owner.
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -595,6 +595,26 @@
   }
 }
 
+TEST_CASE("an owner that is ready knows the waiting jobs of its queues") {
+  EntryState entry;
+  entry.configuration.emplace();
+  Owner& owner = entry.owner.emplace();
+  owner.progress_loaded = owner.targets_loaded = true;
+  Effects out;
+  OnTick(entry, {.now = Instant(seconds(10))}, out);
+  CHECK_FALSE(
+      AnswerOwnerQuery(entry, OwnerQueryKind::kWaiting, "book").answered);
+  Job& job = owner.jobs[JobId(1)];
+  job.record = {.id = JobId(1), .queue = "book", .spec = SimpleJob(1, false)};
+  owner.active_jobs.insert(JobId(1));
+  owner.jobs_loaded = true;
+  OnTick(entry, {.now = Instant(seconds(10) + milliseconds(1))}, out);
+  const OwnerReply reply =
+      AnswerOwnerQuery(entry, OwnerQueryKind::kWaiting, "book");
+  CHECK(reply.answered);
+  CHECK(reply.waiting == 1);
+}
+
 TEST_CASE("the duration of a wave starts when the first owner saw it") {
   Owner owner;
   ContextFixture fixture;
