Platform, Policy: Load tables in pages that fit the link, and catch up

A page as long as its limit counts as truncated.

An owner is ready only after a watch without wait has brought the changes made during its read.

--- a/Source/Fleet/relay_codec.cc
+++ b/Source/Fleet/relay_codec.cc
@@ -263,8 +263,9 @@
 
 std::string EncodeRelayReplies(const RelayReplies& replies) {
   json rows = json::array();
-  for (const auto& [id, reply] : replies)
+  for (const auto& [id, reply] : replies) {
     rows.push_back(EncodeReply(id, reply));
+  }
   return ToCbor(rows);
 }
 
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -65,7 +65,9 @@
   const TableUpdate jobs =
       HandleTableReply(entry.jobs_follower, id, reply, context);
   if (jobs.has_rows) ApplyJobRows(owner, reply, owner.jobs_loaded, context);
-  if (jobs.loaded) owner.jobs_loaded = true;
+  // A read of many rows takes seconds on a narrow link. Jobs that were
+  // cancelled meanwhile must not be started.
+  if (jobs.caught_up) owner.jobs_loaded = true;
 }
 
 void AdvanceAll(EntryState& entry, Context& context) {
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -31,7 +31,9 @@
   Duration watch_wait{};   ///< How long a watch waits for a change.
   Duration watch_delay{};  ///< Gap between two watches, which batches changes.
   std::int64_t revision = 0;
-  bool loaded = false;               ///< The whole table has been read.
+  bool loaded = false;  ///< The whole table has been read.
+  /// A watch has brought the changes that were made during the read.
+  bool caught_up = false;
   std::string next_key;              ///< First key of the next part of a read.
   std::int64_t read_revision = 0;    ///< Revision of the read's first part.
   std::int64_t pending_request = 0;  ///< Read or watch; 0 if none.
--- a/Source/Policy/entry_internal.h
+++ b/Source/Policy/entry_internal.h
@@ -19,6 +19,7 @@
   bool full_read = false;   ///< The rows are part of a read of the whole table.
   bool first_page = false;  ///< The rows are the first page of such a read.
   bool loaded = false;      ///< The whole table has been read.
+  bool caught_up = false;   ///< As TableFollower::caught_up.
 };
 
 /// Handles the store's reply to a read or a watch of the follower.
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -15,10 +15,11 @@
   }
   follower.pending_request = context.next_id++;
   if (follower.loaded) {
-    context.out.emplace_back(WatchRows{.id = follower.pending_request,
-                                       .table = follower.table,
-                                       .revision = follower.revision,
-                                       .wait = follower.watch_wait});
+    context.out.emplace_back(WatchRows{
+        .id = follower.pending_request,
+        .table = follower.table,
+        .revision = follower.revision,
+        .wait = follower.caught_up ? follower.watch_wait : Duration::zero()});
   } else {
     context.out.emplace_back(ReadRows{.id = follower.pending_request,
                                       .table = follower.table,
@@ -36,6 +37,7 @@
   // table is read anew.
   if (reply.history_lost) {
     follower.loaded = false;
+    follower.caught_up = false;
     follower.next_key.clear();
     Log(context, Severity::kWarn, "history_lost",
         {{"table", std::to_string(static_cast<int>(follower.table))},
@@ -62,7 +64,9 @@
   if (follower.loaded) {
     follower.revision = std::max(follower.revision, reply.revision);
     follower.retry_at = context.time.now + follower.watch_delay;
+    follower.caught_up = true;
     result.loaded = true;
+    result.caught_up = true;
     return result;
   }
   result.full_read = true;
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -595,6 +595,42 @@
   }
 }
 
+TEST_CASE("an owner starts no job that was cancelled while it read the jobs") {
+  EntryState entry;
+  entry.configuration.emplace();
+  Owner& owner = entry.owner.emplace();
+  owner.progress_loaded = owner.targets_loaded = true;
+  owner.target_requests_allowed_until = Instant(seconds(20));
+  TargetView& target = owner.targets["i-1"];
+  target.entry = {.id = "i-1",
+                  .pool = "desk",
+                  .address = "10.0.0.1:80",
+                  .capacity = {.cpu_milli = 16000, .memory_mb = 100'000}};
+  target.synced = true;
+  target.clock_ms = 1;
+  const JobRecord record{.id = JobId(1),
+                         .queue = "book",
+                         .pool = "desk",
+                         .spec = SimpleJob(1, false)};
+  const auto reply = [&](const StoreRows& rows) {
+    Effects out;
+    entry.jobs_follower.pending_request = 1000;
+    HandleStoreReply(entry, 1000, rows, {.now = Instant(seconds(10))}, out);
+  };
+  reply({.status = StoreStatus::kOk,
+         .rows = {{.key = record.id, .value = ToJson(record), .revision = 3}},
+         .revision = 3});
+  CHECK_FALSE(owner.ready);
+  reply({.status = StoreStatus::kOk,
+         .rows = {{.key = record.id + ".x",
+                   .value = nlohmann::json::object(),
+                   .revision = 4}},
+         .revision = 4});
+  CHECK(owner.ready);
+  CHECK(owner.jobs.at(record.id).state == JobState::kCancelled);
+  CHECK(owner.start_count == 0);
+}
+
 TEST_CASE("an owner that is ready knows the waiting jobs of its queues") {
   EntryState entry;
   entry.configuration.emplace();
--- a/Tests/Platform/settings_test.cc
+++ b/Tests/Platform/settings_test.cc
@@ -53,6 +53,27 @@
   CHECK(settings->store == Address{"10.200.1.7", 8344});
 }
 
+TEST_CASE("the settings of relays and of the store's partitions are optional") {
+  const auto plain = ParseSettings(kValidSettings);
+  REQUIRE(plain.ok());
+  CHECK(plain->host.link_mbps == 0);
+  CHECK(plain->host.data_centre.empty());
+  CHECK(plain->host.relay == Address{"10.1.0.23", 7001});
+  CHECK(plain->job_parts == 1);
+  CHECK(plain->rows_per_read == 500);
+  const auto narrow =
+      ParseSettings("Zone = \"a\"\n" +
+                    SettingsWith("Cores = 2", "Cores = 2\nLinkMbps = 2.0"));
+  REQUIRE(narrow.ok());
+  CHECK(narrow->host.link_mbps == 2);
+  CHECK(narrow->host.data_centre == "a");
+  CHECK(narrow->rows_per_read == 20);
+  const auto partitioned =
+      ParseSettings(SettingsWith("[platform]", "[platform]\nAcross = true"));
+  REQUIRE(partitioned.ok());
+  CHECK(partitioned->job_parts == 8);
+}
+
 TEST_CASE("ParseSettings names the invalid field or line") {
   struct Case {
     std::string text;
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -201,20 +201,20 @@
 
 TEST_CASE("DecodeRows reports an invalid row and continues") {
   const auto rows =
-      DecodeRows(Table::kTargets, ResponseWithRow("i-1", "bm90IGpzb24="));
+      DecodeRows(Table::kTargets, ResponseWithRow("i-1", "bm90IGpzb24="), 500);
   CHECK(rows.status == StoreStatus::kOk);
   CHECK(rows.targets.empty());
   CHECK(rows.removed_targets == std::vector<std::string>{"i-1"});
   CHECK(rows.errors.size() == 1);
   const auto jobs =
-      DecodeRows(Table::kJobs, ResponseWithRow(kJobId, "bm90IGpzb24="));
+      DecodeRows(Table::kJobs, ResponseWithRow(kJobId, "bm90IGpzb24="), 500);
   CHECK(jobs.rows.empty());
   CHECK(jobs.errors.size() == 1);
 }
 
 TEST_CASE("DecodeRows maps HTTP statuses to store statuses") {
   const auto status = [&](int code, const std::string& body) {
-    return DecodeRows(Table::kJobs, MakeResponse(code, body));
+    return DecodeRows(Table::kJobs, MakeResponse(code, body), 500);
   };
   CHECK(status(200, R"({"Ver":4})").status == StoreStatus::kOk);
   CHECK(status(412, R"({"rows":[],"Ver":4})").status == StoreStatus::kConflict);
@@ -232,7 +232,8 @@
       MakeResponse(
           412,
           R"({"Ver":9,"rows":[{"Table":"progress","part":"fleet",)"
-          R"("Key":"commit","Value":"omVlcG9jaAFoc2VxdWVuY2UC","Ver":8}]})"));
+          R"("Key":"commit","Value":"omVlcG9jaAFoc2VxdWVuY2UC","Ver":8}]})"),
+      500);
   CHECK(rows.status == StoreStatus::kConflict);
   CHECK(rows.errors.empty());
   REQUIRE(rows.rows.size() == 1);
@@ -245,12 +246,22 @@
   const fleet::StoreRows rows = DecodeRows(
       Table::kProgress,
       MakeResponse(200, R"({"Ver":9,"rows":[{"Key":"a","Value":"u///////////",)"
-                        R"("Ver":8}]})"));
+                        R"("Ver":8}]})"),
+      500);
   CHECK(rows.status == StoreStatus::kOk);
   CHECK(rows.rows.empty());
   CHECK(rows.errors.size() == 1);
 }
 
+TEST_CASE("a page as long as its limit is followed by another") {
+  const HttpResponse page = MakeResponse(
+      200, R"({"Ver":9,"rows":[{"Key":"a","Value":"e30=","Ver":7},)"
+           R"({"Key":"b","Value":"e30=","Ver":8}]})");
+  CHECK(DecodeRows(Table::kJobs, page, 2).truncated);
+  CHECK(DecodeRows(Table::kJobs, page, 2).last_key == "b");
+  CHECK_FALSE(DecodeRows(Table::kJobs, page, 3).truncated);
+}
+
 TEST_CASE("the rows of a job share a partition, and jobs are spread") {
   CHECK(PartName(Table::kJobs, kJobId, 1) == "fleet");
   CHECK(PartName(Table::kProgress, kJobId, 8) == "fleet");
