Policy: Keep only the smallest demands that fit nowhere

Each failed demand of the backlog was added to the list that is checked for each other one, so that the cost of a placement grew with the square of the backlog. Greater demands are now dropped from the list, and the critical path of a job is worked out once.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -97,6 +97,7 @@
   const std::string id = record.id;
   Job job;
   job.record = std::move(record);
+  job.critical_path_ms = WholeCriticalPathMs(job.record.spec);
   const std::int64_t age =
       live
           ? 0
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -63,6 +63,13 @@
       [&](const Resources& demand) { return Fits(demand, need); });
 }
 
+/// Keeps only the smallest demands, of which there are few in any backlog.
+void AddUnplaceable(PoolView& pool, const Resources& need) {
+  std::erase_if(pool.unplaceable,
+                [&](const Resources& demand) { return Fits(need, demand); });
+  pool.unplaceable.push_back(need);
+}
+
 Resources FreeResources(const TargetView& target) {
   Resources free = target.entry.capacity;
   free -= target.used;
@@ -290,7 +297,7 @@
       best = &candidate;
       best_key = key;
     }
-    if (!fits_somewhere) pool.unplaceable.push_back(need);
+    if (!fits_somewhere) AddUnplaceable(pool, need);
     return best;
   }
 
@@ -426,8 +433,9 @@
   const double slack = queue == nullptr ? 1.0 : queue->slack_factor;
   const std::int64_t latency_target_ms =
       queue == nullptr ? 0 : queue->latency_target_ms;
-  const auto total_ms =
-      static_cast<double>(WholeCriticalPathMs(job.record.spec));
+  const auto total_ms = static_cast<double>(
+      job.critical_path_ms > 0 ? job.critical_path_ms
+                               : WholeCriticalPathMs(job.record.spec));
   const auto allowed_ms =
       static_cast<std::int64_t>(slack * total_ms) + latency_target_ms;
   const Instant from =
