Fleet: Show relays in the fleet view and in the metrics

An operator of a fleet behind relays needs to see which hosts carry how many targets and which were lost: `hyssopbarrowctl fleet relays`, the gauges relay_links and relayed_requests_total. Jobs and targets are sorted again in the view, whose maps have had no order since they are hashed.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -142,6 +142,9 @@
           [this](const HttpRequest&, const Responder& responder) {
             metrics_.log_lines = log_.lines();
             metrics_.log_lines_dropped = log_.dropped_lines();
+            metrics_.relay_links =
+                static_cast<std::int64_t>(relay_client_.LinkCount());
+            metrics_.relayed_requests = relay_server_.request_count();
             responder.Send(
                 {.status = 200,
                  .headers = {{"content-type", "text/plain; version=0.0.4"}},
@@ -280,7 +283,7 @@
                           const Responder& responder) {
   std::string_view path = request.path;
   if (ConsumePrefix(path, kFleetPath)) {
-    return responder.Send(MakeFleetResponse(entry_, path));
+    return responder.Send(MakeFleetResponse(entry_, path, Now().now));
   }
   const bool asks_state = ConsumePrefix(path, kJobPath);
   if (!asks_state && !ConsumePrefix(path, kWaitingPath)) {
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -96,6 +96,11 @@
               static_cast<double>(metrics.log_lines));
   AppendGauge(out, "log_left_out", "Lines left out by the log's bounds.",
               static_cast<double>(metrics.log_lines_dropped));
+  AppendGauge(out, "relay_links", "Relays that this host sends requests to.",
+              static_cast<double>(metrics.relay_links));
+  AppendGauge(out, "relayed_requests_total",
+              "Target requests that this host has carried for an owner.",
+              static_cast<double>(metrics.relayed_requests));
   if (entry.owner.has_value()) AppendOwnerGauges(out, *entry.owner);
   return out;
 }
--- a/Source/Fleet/fleet_metrics.h
+++ b/Source/Fleet/fleet_metrics.h
@@ -22,6 +22,8 @@
       replies;  ///< By system and result.
   std::int64_t log_lines = 0;
   std::int64_t log_lines_dropped = 0;
+  std::int64_t relay_links = 0;
+  std::int64_t relayed_requests = 0;
 };
 
 /// Counts an answered call; `latency` is the time from its arrival.
--- a/Source/Fleet/fleet_view.cc
+++ b/Source/Fleet/fleet_view.cc
@@ -74,10 +74,21 @@
           {"completed", wave.completed}};
 }
 
+/// Keys of a map, sorted.
+template <typename Map>
+std::vector<std::string> SortedKeys(const Map& map) {
+  std::vector<std::string> keys;
+  for (const auto& [key, value] : map) keys.push_back(key);
+  std::sort(keys.begin(), keys.end());
+  return keys;
+}
+
 std::vector<json> JobRows(const Owner& owner) {
+  const std::vector<std::string> ids = SortedKeys(owner.jobs);
   std::vector<json> rows;
   for (const bool final : {false, true}) {
-    for (const auto& [id, job] : owner.jobs) {
+    for (const std::string& id : ids) {
+      const Job& job = owner.jobs.at(id);
       if (IsFinal(job.state) != final) continue;
       rows.push_back(MakeRow("job", id, owner.commit_sequence, ValueOf(job)));
     }
@@ -87,9 +98,9 @@
 
 std::vector<json> TargetRows(const Owner& owner) {
   std::vector<json> rows;
-  for (const auto& [id, target] : owner.targets) {
-    rows.push_back(
-        MakeRow("target", id, owner.commit_sequence, ValueOf(target)));
+  for (const std::string& id : SortedKeys(owner.targets)) {
+    rows.push_back(MakeRow("target", id, owner.commit_sequence,
+                           ValueOf(owner.targets.at(id))));
   }
   return rows;
 }
@@ -103,6 +114,20 @@
   return rows;
 }
 
+std::vector<json> RelayRows(const Owner& owner, Instant now) {
+  std::vector<json> rows;
+  for (const auto& [node, relay] : owner.relays) {
+    rows.push_back(MakeRow("relay", node, owner.commit_sequence,
+                           {{"address", relay.address},
+                            {"data_centre", relay.data_centre},
+                            {"capacity", relay.capacity},
+                            {"targets", relay.targets},
+                            {"failures", relay.failures},
+                            {"usable", relay.usable_from <= now}}));
+  }
+  return rows;
+}
+
 std::vector<json> OwnerRows(const EntryState& entry) {
   const Ownership& ownership = entry.ownership;
   if (!ownership.loaded || ownership.released) return {};
@@ -121,10 +146,13 @@
 
 }  // namespace
 
-HttpResponse MakeFleetResponse(const EntryState& entry, std::string_view kind) {
+HttpResponse MakeFleetResponse(const EntryState& entry, std::string_view kind,
+                               Instant now) {
   if (kind == "owners") return MakeRowsResponse(OwnerRows(entry));
-  if (kind != "jobs" && kind != "targets" && kind != "waves") {
-    return ErrorResponse(404, "expected jobs, targets, owners or waves");
+  if (kind != "jobs" && kind != "targets" && kind != "relays" &&
+      kind != "waves") {
+    return ErrorResponse(404,
+                         "expected jobs, targets, owners, relays or waves");
   }
   if (!entry.owner.has_value()) {
     return ErrorResponse(
@@ -134,6 +162,7 @@
   }
   const Owner& owner = *entry.owner;
   if (kind == "jobs") return MakeRowsResponse(JobRows(owner));
+  if (kind == "relays") return MakeRowsResponse(RelayRows(owner, now));
   return MakeRowsResponse(kind == "targets" ? TargetRows(owner)
                                             : WaveRows(owner));
 }
--- a/Source/Fleet/fleet_view.h
+++ b/Source/Fleet/fleet_view.h
@@ -8,13 +8,15 @@
 
 namespace hyssopbarrow::fleet {
 
-/// Returns the state of `kind` (jobs, targets, owners or waves) as JSON rows
+/// Returns the state of `kind` (jobs, targets, owners, relays or waves) as JSON
+/// rows
 /// {"kind", "name", "revision", "value"}; `revision` counts the commits of the
 /// owner, or is the lease row's revision for `kind` owners. Returns at most
 /// 1000 rows, jobs without a final state first; `more` is the number of rows
 /// left out. Errors: 404 for another `kind`; 503 with the owner's address for
-/// jobs, targets and waves if this host is not the owner.
-HttpResponse MakeFleetResponse(const EntryState& entry, std::string_view kind);
+/// jobs, targets, relays and waves if this host is not the owner.
+HttpResponse MakeFleetResponse(const EntryState& entry, std::string_view kind,
+                               Instant now);
 
 }  // namespace hyssopbarrow::fleet
 
--- a/Tests/Fleet/job_api_test.cc
+++ b/Tests/Fleet/job_api_test.cc
@@ -118,6 +118,7 @@
   CHECK(jobs[0]["value"]["tasks_done"] == 4);
   CHECK(fixture.FleetRows("targets").size() == 2);
   CHECK(fixture.FleetRows("owners")[0]["name"] == "entry-1");
+  CHECK(fixture.FleetRows("relays").empty());
   CHECK(fixture.FleetRows("waves") == nlohmann::json::array());
   CHECK(fixture.FleetRows("hosts").is_null());
 }
