--- a/Source/Fleet/fleet_view.cc
+++ b/Source/Fleet/fleet_view.cc
@@ -78,6 +78,7 @@
 template <typename Map>
 std::vector<std::string> SortedKeys(const Map& map) {
   std::vector<std::string> keys;
+  keys.reserve(map.size());
   for (const auto& [key, value] : map) keys.push_back(key);
   std::sort(keys.begin(), keys.end());
   return keys;
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -131,8 +131,8 @@
 
   /// Adds the candidates of a job. Returns false if it has no task to place.
   bool CollectCandidatesOf(Job& job) {
-    bool placeable = false;
     if (IsFinal(job.state)) return false;
+    bool placeable = false;
     for (auto& [number, occurrence] : job.open_occurrences) {
       if (!HasRunnableTask(job, occurrence)) continue;
       placeable = true;
--- a/Tests/Fleet/placement_test.cc
+++ b/Tests/Fleet/placement_test.cc
@@ -108,6 +108,22 @@
   }
 }
 
+TEST_CASE("demands that fit nowhere do not keep smaller ones back") {
+  PlacementFixture fixture;
+  Step cpu = MakeStep(1, 1'000'000);
+  Step memory = MakeStep(1, 100);
+  memory.resources.memory_mb = 1'000'000'000;
+  fixture.AddJob("00000000000000a1", cpu);
+  fixture.AddJob("00000000000000a2", memory);
+  fixture.AddJob("00000000000000a3", cpu);
+  fixture.AddJob(kFirstJob, MakeStep(2, 1000));
+  fixture.Place();
+  CHECK(fixture.AssignedTargets("00000000000000a1").empty());
+  CHECK(fixture.AssignedTargets("00000000000000a2").empty());
+  CHECK(fixture.AssignedTargets("00000000000000a3").empty());
+  CHECK(fixture.AssignedTargets(kFirstJob).size() == 2);
+}
+
 TEST_CASE("a required label is binding, the rack of the data is preferred") {
   PlacementFixture fixture;
   Step needs = MakeStep(6, 1000);
