--- a/Tests/Fleet/relay_codec_test.cc
+++ b/Tests/Fleet/relay_codec_test.cc
@@ -20,7 +20,7 @@
           .lease_until_ms = 486'000,
           .task = {"0123456789abcdef", 0, 1, 17},
           .run = 2,
-          .payload = std::string("with \0 and \xff bytes", 19),
+          .payload = std::string("with \0 and \xff bytes", 18),
           .checkpoint = "saved",
           .ticket = "ticket",
           .timeout = milliseconds(700)};
--- a/Tests/Fleet/relays_test.cc
+++ b/Tests/Fleet/relays_test.cc
@@ -220,7 +220,7 @@
 TEST_CASE("no task runs twice while relays are killed and frozen") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     RunWithRelays(seed, 30, [seed](FleetSimulation& fleet, int second) {
-      const int victim = static_cast<int>((seed + 3 * second) % 5);
+      const int victim = (static_cast<int>(seed) + 3 * second) % 5;
       if (second % 3 == 0) fleet.KillEntry(victim);
       if (second % 3 == 1) fleet.FreezeEntry(victim, milliseconds(2500));
     });
@@ -232,7 +232,7 @@
     RunWithRelays(seed, 30, [seed](FleetSimulation& fleet, int second) {
       fleet.faults.lost_reply_share = second < 15 ? 0.1 : 0;
       fleet.faults.late_request_share = second < 15 ? 0.05 : 0;
-      const int victim = static_cast<int>((seed + second) % 5);
+      const int victim = (static_cast<int>(seed) + second) % 5;
       if (second % 4 == 0) {
         fleet.DisconnectFromTargets(victim, {1, 2, 3, 4, 5, 6});
       } else {
