--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -43,6 +43,8 @@
   }
   AppendGauge(out, "jobs_active", "Jobs without a final state.",
               static_cast<double>(owner.active_jobs.size()));
+  AppendGauge(out, "jobs_unstored", "Jobs whose progress waits for a commit.",
+              static_cast<double>(owner.changed_jobs.size()));
   AppendGauge(out, "runs", "Runs on the books.", static_cast<double>(runs));
   AppendGauge(out, "targets", "Targets known.",
               static_cast<double>(owner.targets.size()));
