Policy: Store changed rows in the order of their changes

Cause: the jobs whose progress rows must be stored were a set ordered by id, and a commit takes the first 80. With more changes than commits can store, jobs with low ids that change again go before those with high ids, for as long as the backlog lasts. A run starts only once its row is stored, so such jobs are planned, hold room on targets, and do not start.

Ruled out there: a jobs table that is behind (24 ms old), a lease that has run out (819 ms left), refused or lost starts (none).

Class of fault: a queue under backlog that is ordered by key, not by age. The queue now keeps the order of the first change that is not stored, and jobs of a failed commit go first.

--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -13,6 +13,7 @@
 #include "Model/fleet.h"
 #include "Model/job.h"
 #include "Model/time.h"
+#include "Policy/changed_jobs.h"
 #include "Policy/fleet_effects.h"
 #include "Policy/job_table.h"
 
@@ -251,7 +252,7 @@
   HostManager host_manager;
   std::map<std::string, Relay> relays;  ///< By node.
 
-  std::set<std::string> changed_jobs;
+  ChangedJobs changed_jobs;
   std::optional<PendingCommit> pending_commit;
   /// Store revision of the last commit; `epoch_revision` before the first one.
   std::int64_t commit_revision = 0;
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -133,7 +133,7 @@
 }
 
 void HandleCommitFailure(Owner& owner, const PendingCommit& pending) {
-  for (const auto& [id, final] : pending.jobs) owner.changed_jobs.insert(id);
+  for (const auto& [id, final] : pending.jobs) owner.changed_jobs.PutFirst(id);
   for (const auto& [number, completed] : pending.waves) {
     owner.host_manager.waves[number].progress_stored = false;
   }
@@ -151,12 +151,11 @@
   PendingCommit pending;
   CommitRows commit;
   while (!owner.changed_jobs.empty() && commit.writes.size() < kMaxCommitRows) {
-    const std::string id = *owner.changed_jobs.begin();
-    owner.changed_jobs.erase(owner.changed_jobs.begin());
-    auto it = owner.jobs.find(id);
+    auto it = owner.jobs.find(*owner.changed_jobs.TakeFirst());
     if (it == owner.jobs.end()) continue;
-    commit.writes.push_back({{Table::kProgress, id}, ProgressRow(it->second)});
-    pending.jobs[id] = IsFinal(it->second.state);
+    const auto& [id, job] = *it;
+    commit.writes.push_back({{Table::kProgress, id}, ProgressRow(job)});
+    pending.jobs[id] = IsFinal(job.state);
     CollectStarts(owner, it->second, pending);
   }
   if (owner.changed_jobs.empty()) {
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -231,7 +231,7 @@
 }
 
 void MarkJobChanged(Owner& owner, const Job& job) {
-  owner.changed_jobs.insert(job.record.id);
+  owner.changed_jobs.Add(job.record.id);
 }
 
 void FinishJob(Owner& owner, Job& job, JobState state, std::string_view reason,
