Policy: Count a job as waiting until a target has run it

Cause: has_run was set when a run was planned, before its row was stored and long before a target was asked. A run whose commit waits, or whose start is refused, dropped or lost with the power of the entry hosts, counted as begun; nothing took that back, and the next owner read it from the progress row.

Class of fault: a fact that is recorded when it is intended. A job now has run once a target confirms a start, reports a run or reports an end. After a takeover the count may be too high until the first polls are answered, never too low.

--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -51,13 +51,14 @@
 /// A job and its progress.
 struct Job {
   JobRecord record;
+  /// Running once a run is planned; see VisibleState for what callers see.
   JobState state = JobState::kPending;
   std::map<std::int64_t, Occurrence> open_occurrences;  ///< Begun, by number.
   std::set<std::int64_t> finished_occurrences;
   Instant accepted_at{};
   std::int64_t critical_path_ms = 0;  ///< WholeCriticalPathMs; 0: not cached.
-  bool has_run = false;               ///< A task has been started.
-  bool final_state_stored = false;    ///< The final state is in the store.
+  bool has_run = false;             ///< A target has confirmed a run of a task.
+  bool final_state_stored = false;  ///< The final state is in the store.
   Instant finished_at{};
   std::int64_t next_occurrence = 0;  ///< First one that is not open yet.
 };
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -408,9 +408,9 @@
   auto it = owner.jobs.find(job);
   if (it == owner.jobs.end()) return std::nullopt;
   const Job& found = it->second;
-  const bool visible = !IsFinal(found.state) || found.final_state_stored ||
-                       found.state == JobState::kCancelled;
-  if (visible) return found.state;
+  const bool final_state_visible =
+      found.final_state_stored || found.state == JobState::kCancelled;
+  if (IsFinal(found.state) && final_state_visible) return found.state;
   return found.has_run ? JobState::kRunning : JobState::kPending;
 }
 
--- a/Source/Policy/owner_ends.cc
+++ b/Source/Policy/owner_ends.cc
@@ -96,6 +96,7 @@
        {"counted", counts ? "yes" : "no, the lease expired first"}});
   Job* job = FindJob(owner, end.task.job);
   if (job == nullptr) return;
+  job->has_run = true;
   if (Task* task = FindTask(*job, end.task)) {
     task->last_run = std::max(task->last_run, end.run);
     if (!task->done && !end.checkpoint.empty()) {
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -44,6 +44,8 @@
   }
   Run& run = it->second;
   if (reported.run != run.number) return;
+  // The earlier owner that stored the run may not have started it.
+  if (Job* job = FindJob(owner, reported.task.job)) job->has_run = true;
   if (!run.confirmed_at) run.confirmed_at = context.time.now;
   if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
   run.speed_percent = reported.speed_percent;
@@ -157,6 +159,7 @@
     case TargetResult::kDone:
       if (!run.confirmed_at) run.confirmed_at = now;
       if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
+      if (job != nullptr) job->has_run = true;
       return;
     case TargetResult::kNoReply:
     case TargetResult::kRelayLost:
@@ -286,6 +289,7 @@
   Run& run = AddRun(owner, target, *job, reported.task, reported.run, now);
   run.confirmed_at = now;
   run.phase = RunPhase::kRunning;
+  job->has_run = true;
   Log(context, Severity::kInfo, "run_adopted",
       {{"task", ToString(reported.task)},
        {"run", std::to_string(reported.run)},
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -127,10 +127,7 @@
   task->assignments.push_back(
       {target.entry.id, target.entry.started_unix_ms, number});
   task->last_run = std::max(task->last_run, number);
-  if (!job.has_run) {
-    job.has_run = true;
-    if (job.state == JobState::kPending) job.state = JobState::kRunning;
-  }
+  if (job.state == JobState::kPending) job.state = JobState::kRunning;
   auto existing = target.runs.find(name);
   if (existing != target.runs.end() && existing->second.background) {
     --target.background_runs;
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -686,6 +686,12 @@
       .value_or(JobState::kPending);
 }
 
+OwnerReply FleetSimulation::QueryWaiting() const {
+  const int n = OwnerIndex();
+  if (n < 0) return {};
+  return AnswerOwnerQuery(entry(n), OwnerQueryKind::kWaiting, "book");
+}
+
 std::int64_t FleetSimulation::StartsOf(const TaskName& name) const {
   auto it = starts_.find(name);
   return it == starts_.end() ? 0 : it->second;
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -68,6 +68,8 @@
 
   /// State reported to callers; pending if there is no owner or no such job.
   JobState StateOf(const std::string& id) const;
+  /// The owner's answer to a query for the number of waiting jobs.
+  OwnerReply QueryWaiting() const;
   std::int64_t StartsOf(const TaskName& name) const;
   /// Highest number of failed runs among the tasks of a job.
   std::int64_t FailuresOf(const std::string& id) const;
