Policy: Start no task on tables that are out of date

Cause, as far as shown: an owner never knew how old its tables were. Once it was ready it went on planning and starting for as long as its lease was renewed and its commits succeeded, also while its watch of the jobs table got no reply, while it read the table anew, or after a pause with old replies at hand. The test shows it on the former code: watches of the jobs table get no reply, commits do, a cancelled job is started.

Class of fault: a decision on input of unknown age. Followers now record up to when the changes of their table are known, taken from the request or the wait of a watch, not from the arrival of its reply. Starts, first or repeated, need both tables to be at most 2 s old; stops, leases and ends do not depend on them. The watches of jobs and targets wait 0.5 s, not 1 s, so that a quiet table is not taken for an old one.

Logged as tables_outdated and tables_current; two gauges show the ages.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -148,7 +148,7 @@
             responder.Send(
                 {.status = 200,
                  .headers = {{"content-type", "text/plain; version=0.0.4"}},
-                 .body = FormatMetrics(metrics_, entry_)});
+                 .body = FormatMetrics(metrics_, entry_, Now().now)});
           }),
       relay_client_(
           loop, [this] { return Now().now; },
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -34,7 +34,11 @@
   }
 }
 
-void AppendOwnerGauges(std::string& out, const Owner& owner) {
+double SecondsSince(Instant earlier, Instant now) {
+  return std::chrono::duration<double>(now - earlier).count();
+}
+
+void AppendOwnerGauges(std::string& out, const Owner& owner, Instant now) {
   std::int64_t runs = 0;
   std::int64_t unresponsive = 0;
   for (const auto& [id, target] : owner.targets) {
@@ -54,6 +58,13 @@
               static_cast<double>(owner.start_count));
   AppendGauge(out, "ends_total", "Ends taken in by this owner.",
               static_cast<double>(owner.end_count));
+  if (!owner.ready) return;
+  AppendGauge(out, "jobs_table_age_seconds",
+              "Since the jobs table was last known to be complete.",
+              SecondsSince(owner.jobs_known_at, now));
+  AppendGauge(out, "targets_table_age_seconds",
+              "Since the targets table was last known to be complete.",
+              SecondsSince(owner.targets_known_at, now));
 }
 
 }  // namespace
@@ -71,8 +82,8 @@
   Record(metrics.reply_seconds[system], latency);
 }
 
-std::string FormatMetrics(const FleetMetrics& metrics,
-                          const EntryState& entry) {
+std::string FormatMetrics(const FleetMetrics& metrics, const EntryState& entry,
+                          Instant now) {
   std::string out;
   AppendCounts(out, "job_calls_total", "Answered calls by kind and outcome.",
                {"kind", "outcome"}, metrics.calls);
@@ -103,7 +114,7 @@
   AppendGauge(out, "relayed_requests_total",
               "Target requests that this host has carried for an owner.",
               static_cast<double>(metrics.relayed_requests));
-  if (entry.owner.has_value()) AppendOwnerGauges(out, *entry.owner);
+  if (entry.owner.has_value()) AppendOwnerGauges(out, *entry.owner, now);
   return out;
 }
 
--- a/Source/Fleet/fleet_metrics.h
+++ b/Source/Fleet/fleet_metrics.h
@@ -35,8 +35,9 @@
                  const std::string& result, Duration latency);
 
 /// Formats all metrics in the Prometheus text exposition format 0.0.4. Metrics
-/// of the owner are left out on other hosts.
-std::string FormatMetrics(const FleetMetrics& metrics, const EntryState& entry);
+/// of the owner are left out on other hosts. Ages are as of `now`.
+std::string FormatMetrics(const FleetMetrics& metrics, const EntryState& entry,
+                          Instant now);
 
 }  // namespace hyssopbarrow::fleet
 
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -53,6 +53,7 @@
                       context);
     }
     owner.targets_loaded = owner.targets_loaded || targets.loaded;
+    owner.targets_known_at = entry.targets_follower.known_at;
     return;
   }
   if (!owner.progress_loaded) {
@@ -68,6 +69,7 @@
   // A read of many rows takes seconds on a narrow link. Jobs that were
   // cancelled meanwhile must not be started.
   if (jobs.caught_up) owner.jobs_loaded = true;
+  owner.jobs_known_at = entry.jobs_follower.known_at;
 }
 
 void AdvanceAll(EntryState& entry, Context& context) {
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -37,6 +37,11 @@
   std::string next_key;              ///< First key of the next part of a read.
   std::int64_t read_revision = 0;    ///< Revision of the read's first part.
   std::int64_t pending_request = 0;  ///< Read or watch; 0 if none.
+  Instant request_sent_at{};         ///< Of the pending request.
+  Instant request_wait_end{};        ///< When the pending watch stops waiting.
+  /// Changes that were stored before then are known. Advances only once the
+  /// follower has caught up.
+  Instant known_at{};
   Instant retry_at{};
   bool store_unresponsive = false;  ///< The last request failed.
 };
@@ -123,13 +128,13 @@
   TableFollower ownership_follower{
       .table = Table::kOwner, .watch_wait = std::chrono::milliseconds(500)};
   TableFollower jobs_follower{.table = Table::kJobs,
-                              .watch_wait = std::chrono::seconds(1)};
+                              .watch_wait = std::chrono::milliseconds(500)};
   TableFollower progress_follower{.table = Table::kProgress,
                                   .watch_wait = std::chrono::seconds(1)};
   /// Each target writes every 1.5 s. The watch delay batches the changes, which
   /// are known that much later.
   TableFollower targets_follower{.table = Table::kTargets,
-                                 .watch_wait = std::chrono::seconds(1),
+                                 .watch_wait = std::chrono::milliseconds(500),
                                  .watch_delay = std::chrono::milliseconds(250)};
   Ownership ownership;
   std::optional<Owner> owner;
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -25,6 +25,9 @@
 constexpr Duration kFullRoundInterval = milliseconds(50);
 /// Per job. Further occurrences open once earlier ones are complete.
 constexpr std::int64_t kMaxOpenOccurrences = 64;
+/// Leaves time for a start to reach its target before a cancel must be known
+/// there, which users expect after 3 s.
+constexpr Duration kMaxTableAgeForStarts = milliseconds(2000);
 /// Limits the effect of a wrong clock on the age of a job.
 constexpr std::int64_t kMaxJobAgeMs = 600'000;
 
@@ -218,8 +221,24 @@
 }
 
 bool MayPlaceTasks(const Owner& owner, Instant now) {
-  return owner.placement_due && owner.ready &&
-         MaySendTargetRequests(owner, now);
+  return owner.placement_due && owner.ready && MayStartTasks(owner, now);
+}
+
+/// Logs when starts begin and cease to wait for the tables.
+void UpdateTablesOutdated(Owner& owner, Context& context) {
+  const Instant now = context.time.now;
+  const bool outdated = owner.ready && !AreTablesCurrent(owner, now);
+  if (outdated == owner.tables_outdated) return;
+  owner.tables_outdated = outdated;
+  const auto age_ms = [now](Instant known_at) {
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(now - known_at).count());
+  };
+  Log(context, outdated ? Severity::kWarn : Severity::kInfo,
+      outdated ? "tables_outdated" : "tables_current",
+      {{"epoch", std::to_string(owner.epoch)},
+       {"jobs_age_ms", age_ms(owner.jobs_known_at)},
+       {"targets_age_ms", age_ms(owner.targets_known_at)}});
 }
 
 }  // namespace
@@ -228,6 +247,16 @@
   return now < owner.target_requests_allowed_until && !owner.fenced;
 }
 
+bool AreTablesCurrent(const Owner& owner, Instant now) {
+  const Instant known_at =
+      std::min(owner.jobs_known_at, owner.targets_known_at);
+  return now - known_at <= kMaxTableAgeForStarts;
+}
+
+bool MayStartTasks(const Owner& owner, Instant now) {
+  return MaySendTargetRequests(owner, now) && AreTablesCurrent(owner, now);
+}
+
 void ApplyJobRows(Owner& owner, const StoreRows& rows, bool live,
                   Context& context) {
   for (const Row& row : rows.rows) {
@@ -375,6 +404,7 @@
     owner.placement_due = true;
   }
   UpdateReady(owner, context);
+  if (sweep) UpdateTablesOutdated(owner, context);
   if (owner.ready && MaySendTargetRequests(owner, now)) {
     AdvanceHostManager(owner, context);
     AdvanceThrottling(owner, context);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -227,7 +227,10 @@
   bool jobs_loaded = false;
   bool progress_loaded = false;
   bool targets_loaded = false;
-  bool ready = false;  ///< These tables and the configuration are loaded.
+  bool ready = false;       ///< These tables and the configuration are loaded.
+  Instant jobs_known_at{};  ///< As TableFollower::known_at.
+  Instant targets_known_at{};    ///< As TableFollower::known_at.
+  bool tables_outdated = false;  ///< As of the last sweep; starts are held.
 
   std::unordered_map<std::string, Job> jobs;
   std::set<std::string> active_jobs;  ///< Jobs without a final state.
@@ -280,6 +283,13 @@
 /// True while the ownership lease allows requests to targets.
 bool MaySendTargetRequests(const Owner& owner, Instant now);
 
+/// True while the jobs and targets tables are known well enough to start tasks:
+/// recent cancels and drains have arrived.
+bool AreTablesCurrent(const Owner& owner, Instant now);
+
+/// True while the owner may send start requests.
+bool MayStartTasks(const Owner& owner, Instant now);
+
 /// Apply rows of the tables that the owner follows. `live` is false while the
 /// jobs table is being loaded; `whole` is true if `rows` is the last page of a
 /// read of the whole table, whose targets are in Owner::targets_read.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -52,7 +52,7 @@
                        run->second.number == assignment.run &&
                        run->second.phase == RunPhase::kPlanned;
     if (!valid) continue;
-    const bool usable = MaySendTargetRequests(owner, context.time.now) &&
+    const bool usable = MayStartTasks(owner, context.time.now) &&
                         IsUsable(target->second, context.time.now);
     if (!usable) {
       DropRun(owner, target->second, name);
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -7,6 +7,16 @@
 
 constexpr Duration kTableRetryDelay = std::chrono::milliseconds(120);
 
+/// Earliest time at which the store can have composed the reply to a watch. A
+/// reply may reach this host much later, for example after a pause.
+Instant EarliestReplyTime(const TableFollower& follower, const StoreRows& reply,
+                          Instant now) {
+  const bool changed = !reply.rows.empty() || !reply.targets.empty() ||
+                       !reply.removed_targets.empty();
+  const bool waited_in_vain = !changed && now >= follower.request_wait_end;
+  return waited_in_vain ? follower.request_wait_end : follower.request_sent_at;
+}
+
 }  // namespace
 
 void AdvanceTableFollower(TableFollower& follower, Context& context) {
@@ -14,12 +24,15 @@
     return;
   }
   follower.pending_request = context.next_id++;
+  follower.request_sent_at = context.time.now;
   if (follower.loaded) {
-    context.out.emplace_back(WatchRows{
-        .id = follower.pending_request,
-        .table = follower.table,
-        .revision = follower.revision,
-        .wait = follower.caught_up ? follower.watch_wait : Duration::zero()});
+    const Duration wait =
+        follower.caught_up ? follower.watch_wait : Duration::zero();
+    follower.request_wait_end = context.time.now + wait;
+    context.out.emplace_back(WatchRows{.id = follower.pending_request,
+                                       .table = follower.table,
+                                       .revision = follower.revision,
+                                       .wait = wait});
   } else {
     context.out.emplace_back(ReadRows{.id = follower.pending_request,
                                       .table = follower.table,
@@ -65,6 +78,7 @@
     follower.revision = std::max(follower.revision, reply.revision);
     follower.retry_at = context.time.now + follower.watch_delay;
     follower.caught_up = true;
+    follower.known_at = EarliestReplyTime(follower, reply, context.time.now);
     result.loaded = true;
     result.caught_up = true;
     return result;
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -319,7 +319,10 @@
                                  std::int64_t until_us) {
   if (entries_[ToIndex(n)].instance != instance) return;
   StoreRows rows;
-  if (store_down_ || entries_[ToIndex(n)].store_disconnected) {
+  const SimulatedEntry& host = entries_[ToIndex(n)];
+  const bool stalled =
+      host.job_watches_stalled && request.table == Table::kJobs;
+  if (store_down_ || host.store_disconnected || stalled) {
     DeliverEvent(
         n,
         [this, id = request.id, rows](EntryState& entry, Effects& out) {
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -53,6 +53,10 @@
     entries_[ToIndex(n)].store_disconnected = disconnected;
   }
   void DisconnectFromTargets(int n, const std::set<int>& targets);
+  /// The store answers no watch of the jobs table by entry host `n`.
+  void StallJobWatches(int n, bool stalled) {
+    entries_[ToIndex(n)].job_watches_stalled = stalled;
+  }
   void CrashTarget(int n);  ///< Never replies again; unlisted after 4.5 s.
   void SetStoreDown(bool down) { store_down_ = down; }
   void AddWave(Wave wave);
@@ -96,6 +100,7 @@
     std::unique_ptr<EntryState> state;  ///< Null while the host is down.
     std::int64_t instance = 0;
     bool store_disconnected = false;
+    bool job_watches_stalled = false;
     std::set<int> disconnected_targets;
     std::int64_t frozen_until_us = 0;
     std::int64_t next_tick_us = 0;
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -612,9 +612,11 @@
                          .queue = "book",
                          .pool = "desk",
                          .spec = SimpleJob(1, false)};
+  owner.targets_known_at = Instant(seconds(10));
   const auto reply = [&](const StoreRows& rows) {
     Effects out;
     entry.jobs_follower.pending_request = 1000;
+    entry.jobs_follower.request_sent_at = Instant(seconds(10));
     HandleStoreReply(entry, 1000, rows, {.now = Instant(seconds(10))}, out);
   };
   reply({.status = StoreStatus::kOk,
--- /dev/null
+++ b/Tests/Fleet/table_age_test.cc
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "Fleet/fleet_simulation.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kRunningJob = "00000000000000aa";
+const std::string kWaitingJob = "00000000000000bb";
+
+/// A fleet of one target, which runs a job that fills it. Another job waits.
+struct FullFleet {
+  explicit FullFleet(std::uint64_t seed) : simulation(seed, 3, 1) {
+    simulation.task_duration = seconds(10);
+    simulation.Run(seconds(1));
+    simulation.Submit(kRunningJob, SimpleJob(4, false));
+    simulation.Run(seconds(1));
+    simulation.Submit(kWaitingJob, SimpleJob(1, false));
+    simulation.Run(seconds(1));
+  }
+
+  FleetSimulation simulation;
+};
+
+// Guards against starts of cancelled jobs by an owner whose commits succeed
+// while its watch of the jobs table gets no reply.
+TEST_CASE("an owner that does not hear of cancels starts no waiting job") {
+  FullFleet fleet(51);
+  FleetSimulation& simulation = fleet.simulation;
+  const int owner = simulation.OwnerIndex();
+  REQUIRE(owner >= 0);
+  REQUIRE(simulation.StartsOf({kRunningJob, 0, 0, 0}) == 1);
+  simulation.StallJobWatches(owner, true);
+  simulation.Run(milliseconds(100));
+  simulation.Cancel(kWaitingJob);
+  simulation.Run(seconds(18));
+  CHECK(simulation.OwnerIndex() == owner);
+  CHECK(simulation.StateOf(kRunningJob) == JobState::kCompleted);
+  CHECK(simulation.StartsOf({kWaitingJob, 0, 0, 0}) == 0);
+  simulation.StallJobWatches(owner, false);
+  simulation.Run(seconds(2));
+  CHECK(simulation.StateOf(kWaitingJob) == JobState::kCancelled);
+  CHECK(simulation.StartsOf({kWaitingJob, 0, 0, 0}) == 0);
+  CHECK(simulation.violations.empty());
+}
+
+// Guards against a paused owner that takes a reply which waited for it as news.
+TEST_CASE("a reply to a watch is as old as the end of its wait") {
+  EntryState entry;
+  Owner& owner = entry.owner.emplace();
+  owner.progress_loaded = owner.jobs_loaded = true;
+  TableFollower& follower = entry.jobs_follower;
+  follower.loaded = follower.caught_up = true;
+  follower.pending_request = 1000;
+  follower.request_sent_at = Instant(seconds(10));
+  follower.request_wait_end = Instant(milliseconds(10'500));
+  StoreRows reply{.status = StoreStatus::kOk, .revision = 3};
+  Effects out;
+  SECTION("without changes") {
+    HandleStoreReply(entry, 1000, reply, {.now = Instant(seconds(14))}, out);
+    CHECK(owner.jobs_known_at == Instant(milliseconds(10'500)));
+  }
+  SECTION("with a change") {
+    reply.rows.push_back({.key = "00000000000000aa.x", .revision = 3});
+    HandleStoreReply(entry, 1000, reply, {.now = Instant(seconds(14))}, out);
+    CHECK(owner.jobs_known_at == Instant(seconds(10)));
+  }
+}
+
+}  // namespace
+}  // namespace hyssopbarrow::fleet
