Policy: Answer no count of waiting jobs that is out of date

Callers are promised a number of waiting jobs that is at most 2 s old.

Otherwise the query is not answered, and the host that asks tries again until its deadline, perhaps with a new owner. The test fails on the former code: 2.1 s after the watches stop, the owner answers.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -292,7 +292,8 @@
   }
   const OwnerQueryKind kind =
       asks_state ? OwnerQueryKind::kJobState : OwnerQueryKind::kWaiting;
-  const OwnerReply reply = AnswerOwnerQuery(entry_, kind, std::string(path));
+  const OwnerReply reply =
+      AnswerOwnerQuery(entry_, kind, std::string(path), Now().now);
   if (!reply.answered) {
     return responder.Send(ErrorResponse(
         503, "this host does not own the fleet or has not loaded its tables"));
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -178,9 +178,9 @@
 void OnStop(EntryState& entry, const EventTime& time, Effects& out);
 
 /// Answers another entry host's query from the owner's state. `answered` is
-/// false if this host is not the owner or has not loaded all tables.
+/// false if this host is not the owner or does not know the answer.
 OwnerReply AnswerOwnerQuery(const EntryState& entry, OwnerQueryKind kind,
-                            const std::string& key);
+                            const std::string& key, Instant now);
 
 /// True while the host can serve callers: it has a configuration, is not
 /// stopping, and the store is responsive. A host without the store cannot
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -337,9 +337,12 @@
   }
 
   void QueryWaiting(PendingCall& call) {
-    if (entry_.owner.has_value() && entry_.owner->ready) {
-      Answer(call, {.outcome = CallOutcome::kWaiting,
-                    .waiting = CountWaitingJobs(*entry_.owner, call.queue)});
+    const auto waiting =
+        entry_.owner.has_value()
+            ? CountWaitingJobs(*entry_.owner, call.queue, context_.time.now)
+            : std::nullopt;
+    if (waiting.has_value()) {
+      Answer(call, {.outcome = CallOutcome::kWaiting, .waiting = *waiting});
     } else if (HasRemoteOwner()) {
       QueryOwner(call, OwnerQueryKind::kWaiting, call.queue);
     } else {
@@ -525,15 +528,14 @@
 }
 
 OwnerReply AnswerOwnerQuery(const EntryState& entry, OwnerQueryKind kind,
-                            const std::string& key) {
+                            const std::string& key, Instant now) {
   if (!entry.owner.has_value() || !entry.owner->ready) return {};
-  OwnerReply reply{.answered = true};
   if (kind == OwnerQueryKind::kJobState) {
-    reply.state = VisibleState(*entry.owner, key);
-  } else {
-    reply.waiting = CountWaitingJobs(*entry.owner, key);
+    return {.answered = true, .state = VisibleState(*entry.owner, key)};
   }
-  return reply;
+  const auto waiting = CountWaitingJobs(*entry.owner, key, now);
+  if (!waiting.has_value()) return {};
+  return {.answered = true, .waiting = *waiting};
 }
 
 }  // namespace hyssopbarrow::fleet
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -25,6 +25,9 @@
 constexpr Duration kFullRoundInterval = milliseconds(50);
 /// Per job. Further occurrences open once earlier ones are complete.
 constexpr std::int64_t kMaxOpenOccurrences = 64;
+/// Callers are told a number of waiting jobs that is at most 2 s old, of which
+/// the sweep that counts them takes up to kSweepInterval.
+constexpr Duration kMaxWaitingCountAge = milliseconds(2000) - kSweepInterval;
 /// Leaves time for a start to reach its target before a cancel must be known
 /// there, which users expect after 3 s.
 constexpr Duration kMaxTableAgeForStarts = milliseconds(2000);
@@ -428,7 +431,12 @@
   return std::max(deadline, now);
 }
 
-std::int64_t CountWaitingJobs(const Owner& owner, std::string_view queue) {
+std::optional<std::int64_t> CountWaitingJobs(const Owner& owner,
+                                             std::string_view queue,
+                                             Instant now) {
+  const bool known = owner.ready && MaySendTargetRequests(owner, now) &&
+                     now - owner.jobs_known_at <= kMaxWaitingCountAge;
+  if (!known) return std::nullopt;
   auto it = owner.waiting_jobs.find(queue);
   return it == owner.waiting_jobs.end() ? 0 : it->second;
 }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -327,8 +327,11 @@
 /// Latest time of the next AdvanceOwner call.
 Instant NextDeadline(const Owner& owner, Instant now);
 
-/// Number of jobs of `queue` in Owner::waiting_jobs.
-std::int64_t CountWaitingJobs(const Owner& owner, std::string_view queue);
+/// Number of jobs of `queue` in Owner::waiting_jobs. Empty if it may be older
+/// than callers are promised, or if another host may own the fleet.
+std::optional<std::int64_t> CountWaitingJobs(const Owner& owner,
+                                             std::string_view queue,
+                                             Instant now);
 
 /// State to report to callers. `completed` and `failed` are reported only once
 /// they are stored; until then the job is reported as running or pending. Empty
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -268,7 +268,7 @@
       const int owner = std::stoi(query->address);
       if (entries_[ToIndex(owner)].state != nullptr) {
         reply = AnswerOwnerQuery(*entries_[ToIndex(owner)].state, query->kind,
-                                 query->key);
+                                 query->key, CurrentTime().now);
       }
       DeliverEvent(
           n,
@@ -692,7 +692,8 @@
 OwnerReply FleetSimulation::QueryWaiting() const {
   const int n = OwnerIndex();
   if (n < 0) return {};
-  return AnswerOwnerQuery(entry(n), OwnerQueryKind::kWaiting, "book");
+  return AnswerOwnerQuery(entry(n), OwnerQueryKind::kWaiting, "book",
+                          CurrentTime().now);
 }
 
 std::int64_t FleetSimulation::StartsOf(const TaskName& name) const {
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -640,15 +640,19 @@
   owner.progress_loaded = owner.targets_loaded = true;
   Effects out;
   OnTick(entry, {.now = Instant(seconds(10))}, out);
-  CHECK_FALSE(
-      AnswerOwnerQuery(entry, OwnerQueryKind::kWaiting, "book").answered);
+  const auto query = [&entry] {
+    return AnswerOwnerQuery(entry, OwnerQueryKind::kWaiting, "book",
+                            Instant(seconds(10)));
+  };
+  CHECK_FALSE(query().answered);
   Job& job = owner.jobs[JobId(1)];
   job.record = {.id = JobId(1), .queue = "book", .spec = SimpleJob(1, false)};
   owner.active_jobs.insert(JobId(1));
   owner.jobs_loaded = true;
   OnTick(entry, {.now = Instant(seconds(10) + milliseconds(1))}, out);
-  const OwnerReply reply =
-      AnswerOwnerQuery(entry, OwnerQueryKind::kWaiting, "book");
+  owner.jobs_known_at = Instant(seconds(10));
+  owner.target_requests_allowed_until = Instant(seconds(11));
+  const OwnerReply reply = query();
   CHECK(reply.answered);
   CHECK(reply.waiting == 1);
 }
--- a/Tests/Fleet/table_age_test.cc
+++ b/Tests/Fleet/table_age_test.cc
@@ -49,6 +49,27 @@
   CHECK(simulation.violations.empty());
 }
 
+// Guards against counts of waiting jobs by an owner that has not heard of the
+// jobs that were accepted for longer than callers are promised.
+TEST_CASE("an owner that does not hear of new jobs counts no waiting jobs") {
+  FullFleet fleet(52);
+  FleetSimulation& simulation = fleet.simulation;
+  const int owner = simulation.OwnerIndex();
+  REQUIRE(owner >= 0);
+  const OwnerReply before = simulation.QueryWaiting();
+  CHECK(before.answered);
+  CHECK(before.waiting == 1);
+  simulation.StallJobWatches(owner, true);
+  simulation.Run(milliseconds(2100));
+  CHECK(simulation.OwnerIndex() == owner);
+  CHECK_FALSE(simulation.QueryWaiting().answered);
+  simulation.StallJobWatches(owner, false);
+  simulation.Run(seconds(1));
+  const OwnerReply after = simulation.QueryWaiting();
+  CHECK(after.answered);
+  CHECK(after.waiting == 1);
+}
+
 // Guards against a paused owner that takes a reply which waited for it as news.
 TEST_CASE("a reply to a watch is as old as the end of its wait") {
   EntryState entry;
