Policy: Acknowledge stored ends while other rows wait

Cause: ends were acknowledged only with a commit after which no changed job was left. Under a backlog that is never, so targets list all their ends again in each poll, and are polled each 0.5 s because they have such ends: the owner gets more to read exactly while it is behind.

An end now notes how many changes had been queued once it was handled, and is acknowledged with the commit that stores the last of them. It also notes the instance of its target, since another one numbers its ends anew. Ends of a failed commit wait for the next one.

"a stored end is acknowledged while later changes wait" fails on the former code; the two tests beside it, on ends that are not to be acknowledged, pass on both.

--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -2,6 +2,7 @@
 #define HYSSOPBARROW_POLICY_OWNER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -192,14 +193,25 @@
   std::map<std::string, Instant> last_saturated;
 };
 
+/// An end of a run that was handled. Its effect is stored once all jobs before
+/// `changes_end` in Owner::changed_jobs have been.
+struct UnstoredEnd {
+  std::string target;
+  std::int64_t started_unix_ms = 0;  ///< Instance of the target.
+  std::int64_t number = 0;           ///< As RunEnd::number.
+  std::int64_t changes_end = 0;
+
+  friend bool operator==(const UnstoredEnd&, const UnstoredEnd&) = default;
+};
+
 /// A commit whose reply is awaited.
 struct PendingCommit {
   std::int64_t id = 0;
   Instant sent_at{};
   std::map<std::string, bool> jobs;  ///< Whether the state written is final.
-  std::vector<std::string> removed_jobs;     ///< Jobs whose rows are deleted.
-  std::map<std::int64_t, bool> waves;        ///< Whether written as completed.
-  std::map<std::string, std::int64_t> ends;  ///< Last end stored, by target.
+  std::vector<std::string> removed_jobs;  ///< Jobs whose rows are deleted.
+  std::map<std::int64_t, bool> waves;     ///< Whether written as completed.
+  std::deque<UnstoredEnd> ends;           ///< Whose effect it stores.
   /// Assignments that the commit stores; their starts are sent after it.
   std::vector<std::pair<TaskName, Assignment>> starts_to_send;
 };
@@ -246,8 +258,7 @@
   std::set<std::string> targets_read;
   /// Targets with unknown runs, by the job of the runs.
   std::map<std::string, std::set<std::string>> unknown_run_targets;
-  /// Targets with ends that are processed but not stored.
-  std::set<std::string> targets_with_unstored_ends;
+  std::deque<UnstoredEnd> unstored_ends;  ///< In the order of handling.
   std::map<std::string, Resources> team_used;
   std::unordered_map<std::int64_t, PendingTargetRequest>
       pending_target_requests;
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -1,6 +1,8 @@
 #include "Policy/owner_commits.h"
 
 #include <algorithm>
+#include <deque>
+#include <iterator>
 #include <utility>
 
 #include "Model/text.h"
@@ -67,25 +69,34 @@
   }
 }
 
-/// Marks the ends that the commit covers as stored, so that the next poll
-/// acknowledges them.
-void MarkEndsStored(Owner& owner, const PendingCommit& pending,
+/// Removes and returns the ends whose effect is stored with the jobs that have
+/// been taken from Owner::changed_jobs.
+std::deque<UnstoredEnd> TakeCoveredEnds(Owner& owner) {
+  const std::int64_t taken = owner.changed_jobs.FirstPosition();
+  auto first_uncovered = std::find_if(
+      owner.unstored_ends.begin(), owner.unstored_ends.end(),
+      [taken](const UnstoredEnd& end) { return end.changes_end > taken; });
+  std::deque<UnstoredEnd> covered(
+      std::make_move_iterator(owner.unstored_ends.begin()),
+      std::make_move_iterator(first_uncovered));
+  owner.unstored_ends.erase(owner.unstored_ends.begin(), first_uncovered);
+  return covered;
+}
+
+/// Marks ends as stored, so that the next polls acknowledge them.
+void MarkEndsStored(Owner& owner, const std::deque<UnstoredEnd>& ends,
                     const Context& context) {
-  for (const auto& [id, number] : pending.ends) {
-    auto it = owner.targets.find(id);
-    if (it == owner.targets.end()) {
-      owner.targets_with_unstored_ends.erase(id);
-      continue;
-    }
+  for (const UnstoredEnd& end : ends) {
+    auto it = owner.targets.find(end.target);
+    if (it == owner.targets.end()) continue;
     TargetView& target = it->second;
-    if (target.last_end_stored < number) {
-      target.last_end_stored = number;
-      target.next_poll = context.time.now;
-      AddToNextRound(owner, target);
-    }
-    if (target.last_end_stored >= target.last_end_processed) {
-      owner.targets_with_unstored_ends.erase(id);
-    }
+    // Another instance numbers its ends from 1.
+    const bool same_instance =
+        target.entry.started_unix_ms == end.started_unix_ms;
+    if (!same_instance || target.last_end_stored >= end.number) continue;
+    target.last_end_stored = end.number;
+    target.next_poll = context.time.now;
+    AddToNextRound(owner, target);
   }
 }
 
@@ -126,7 +137,7 @@
   }
   SendStoredStarts(owner, pending, context);
   for (const std::string& id : pending.removed_jobs) owner.jobs.erase(id);
-  MarkEndsStored(owner, pending, context);
+  MarkEndsStored(owner, pending.ends, context);
   for (const auto& [number, completed] : pending.waves) {
     owner.host_manager.waves[number].completion_stored = completed;
   }
@@ -134,6 +145,8 @@
 
 void HandleCommitFailure(Owner& owner, const PendingCommit& pending) {
   for (const auto& [id, final] : pending.jobs) owner.changed_jobs.PutFirst(id);
+  owner.unstored_ends.insert(owner.unstored_ends.begin(), pending.ends.begin(),
+                             pending.ends.end());
   for (const auto& [number, completed] : pending.waves) {
     owner.host_manager.waves[number].progress_stored = false;
   }
@@ -158,18 +171,12 @@
     pending.jobs[id] = IsFinal(job.state);
     CollectStarts(owner, it->second, pending);
   }
-  if (owner.changed_jobs.empty()) {
-    for (const std::string& id : owner.targets_with_unstored_ends) {
-      auto it = owner.targets.find(id);
-      pending.ends[id] =
-          it == owner.targets.end() ? 0 : it->second.last_end_processed;
-    }
-  }
+  pending.ends = TakeCoveredEnds(owner);
   AddWaveWrites(owner, pending, commit);
   if (sweep) AddExpiredJobRemovals(owner, pending, commit, context);
   if (commit.writes.empty()) {
     // Ends that changed no row need no commit.
-    MarkEndsStored(owner, pending, context);
+    MarkEndsStored(owner, pending.ends, context);
     return;
   }
   pending.id = context.next_id++;
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -108,8 +108,12 @@
     const bool counts = (!lease_expired || started_after_poll) &&
                         end.number >= last_expired_end;
     target.last_end_processed = end.number;
-    owner.targets_with_unstored_ends.insert(target.entry.id);
     HandleRunEnd(owner, target, end, counts, context);
+    owner.unstored_ends.push_back(
+        {.target = target.entry.id,
+         .started_unix_ms = target.entry.started_unix_ms,
+         .number = end.number,
+         .changes_end = owner.changed_jobs.EndPosition()});
   }
   target.last_end_acknowledged =
       std::max(target.last_end_acknowledged, request.last_end_stored);
--- a/Tests/Fleet/commit_order_test.cc
+++ b/Tests/Fleet/commit_order_test.cc
@@ -84,5 +84,75 @@
   CHECK_FALSE(committing.CommitWrites(kLastId, StoreStatus::kOk));
 }
 
+/// Lets target i-1 report the end of a run of a task of kLastId.
+void ReportEnd(CommittingOwner& committing, std::int64_t number) {
+  constexpr std::int64_t kPoll = 1000;
+  committing.owner.pending_target_requests[kPoll] = {
+      .kind = TargetRequestKind::kPoll,
+      .target = "i-1",
+      .sent_at = committing.now,
+      .started_unix_ms = 7};
+  Context context = committing.MakeContext();
+  HandleTargetReply(committing.owner, kPoll,
+                    {.result = TargetResult::kDone,
+                     .clock_ms = 1,
+                     .started_unix_ms = 7,
+                     .ends = {{.number = number,
+                               .task = {kLastId, 0, 0, 0},
+                               .run = 1,
+                               .kind = RunEndKind::kDone}}},
+                    context);
+}
+
+/// An owner of target i-1 and of job kLastId, whose task runs there.
+CommittingOwner MakeOwnerWithTarget() {
+  CommittingOwner committing;
+  TargetView& target = committing.owner.targets["i-1"];
+  target.entry = {.id = "i-1", .address = "10.0.0.1:80", .started_unix_ms = 7};
+  Job& job = committing.owner.jobs[kLastId];
+  job.record = {.id = kLastId, .spec = SimpleJob(1, false)};
+  job.open_occurrences.emplace(0,
+                               NewOccurrence(job.record.spec, committing.now));
+  committing.owner.active_jobs.insert(kLastId);
+  return committing;
+}
+
+// Guards against targets that report their ends again and again because no end
+// is acknowledged while any job waits for a commit.
+TEST_CASE("a stored end is acknowledged while later changes wait") {
+  CommittingOwner committing = MakeOwnerWithTarget();
+  TargetView& target = committing.owner.targets.at("i-1");
+  ReportEnd(committing, 1);
+  committing.ChangeMany();
+  CHECK(committing.CommitWrites(kLastId, StoreStatus::kUnknown));
+  CHECK(target.last_end_stored == 0);
+  CHECK(committing.CommitWrites(kLastId, StoreStatus::kOk));
+  CHECK(target.last_end_stored == 1);
+}
+
+// Guards against acknowledged ends whose effect is not stored.
+TEST_CASE("an end is not acknowledged before the change it made is stored") {
+  CommittingOwner committing = MakeOwnerWithTarget();
+  TargetView& target = committing.owner.targets.at("i-1");
+  committing.ChangeMany();
+  ReportEnd(committing, 1);
+  CHECK_FALSE(committing.CommitWrites(kLastId, StoreStatus::kOk));
+  CHECK(target.last_end_stored == 0);
+  CHECK(committing.CommitWrites(kLastId, StoreStatus::kOk));
+  CHECK(target.last_end_stored == 1);
+}
+
+// Guards against ends of a restarted target that are acknowledged unread,
+// because its earlier instance had ended as many runs.
+TEST_CASE("an end of an earlier instance acknowledges nothing") {
+  CommittingOwner committing = MakeOwnerWithTarget();
+  TargetView& target = committing.owner.targets.at("i-1");
+  ReportEnd(committing, 5);
+  target.entry.started_unix_ms = 8;
+  target.last_end_processed = 0;
+  CHECK(committing.CommitWrites(kLastId, StoreStatus::kOk));
+  CHECK(target.last_end_stored == 0);
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
