Owner: Count every end that a target reports

A run that is done is done whether or not a lease expired after it, so no end is judged by a lease any more: the task is finished, and its restart was wasted work in any case. The same holds for failed ends, which count as attempts.

Ruled out: an end acknowledged before its effect was stored (the targets still listed all of them), rows of an older state, and an abandoned commit.

Two sections of the new test fail without the change (a new owner, and an owner that was frozen). The simulation no longer forgives a start after an end whose lease had expired was acknowledged; with that, a series of faults and the relays test failed before as well.

--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -136,8 +136,6 @@
   std::int64_t run = 0;
   std::int64_t last_end_stored = 0;  ///< As in TargetRequest.
   Instant sent_at{};
-  /// Latest lease end sent before this request, on the target's clock.
-  std::int64_t previous_lease_until_ms = 0;
   std::int64_t started_unix_ms = 0;  ///< Identifies the target instance.
 };
 
--- a/Source/Policy/owner_ends.cc
+++ b/Source/Policy/owner_ends.cc
@@ -78,7 +78,7 @@
 }  // namespace
 
 void HandleRunEnd(Owner& owner, TargetView& target, const RunEnd& end,
-                  bool counts, Context& context) {
+                  Context& context) {
   ++owner.end_count;
   auto run = target.runs.find(end.task);
   const bool current =
@@ -87,13 +87,12 @@
     if (!end.checkpoint.empty()) run->second.checkpoint = end.checkpoint;
     DropRun(owner, target, end.task);
   }
-  const bool routine = end.kind == RunEndKind::kDone && counts;
+  const bool routine = end.kind == RunEndKind::kDone;
   Log(context, routine ? Severity::kInfo : Severity::kWarn, "run_ended",
       {{"task", ToString(end.task)},
        {"run", std::to_string(end.run)},
        {"target", target.entry.id},
-       {"kind", std::string(ToString(end.kind))},
-       {"counted", counts ? "yes" : "no, the lease expired first"}});
+       {"kind", std::string(ToString(end.kind))}});
   Job* job = FindJob(owner, end.task.job);
   if (job == nullptr) return;
   job->has_run = true;
@@ -104,7 +103,6 @@
     }
   }
   owner.placement_due = true;
-  if (!counts) return;
   if (end.kind == RunEndKind::kDone) HandleTaskDone(owner, *job, end, context);
   if (end.kind == RunEndKind::kFailed) {
     HandleTaskFailed(owner, target, *job, end, context);
--- a/Source/Policy/owner_ends.h
+++ b/Source/Policy/owner_ends.h
@@ -5,10 +5,10 @@
 
 namespace hyssopbarrow::fleet {
 
-/// Handles the end of a run that a target reports. If `counts` is false, only
-/// releases the resources of the run and leaves the result of the task as is.
+/// Handles the end of a run that a target reports. The end counts even if a
+/// lease of the target has expired since: the run has ended either way.
 void HandleRunEnd(Owner& owner, TargetView& target, const RunEnd& end,
-                  bool counts, Context& context);
+                  Context& context);
 
 }  // namespace hyssopbarrow::fleet
 
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -8,7 +8,6 @@
 namespace hyssopbarrow::fleet {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 /// How long a target gets no starts after a request failed because the target
@@ -79,18 +78,6 @@
                      const PendingTargetRequest& request,
                      const TargetReply& reply, Context& context) {
   const Instant now = context.time.now;
-  const Duration round_trip = now - request.sent_at;
-  const std::int64_t clock_at_sending_ms =
-      reply.clock_ms - duration_cast<milliseconds>(round_trip).count();
-  const bool lease_expired =
-      request.previous_lease_until_ms > 0 &&
-      clock_at_sending_ms > request.previous_lease_until_ms;
-  // When a lease expires, earlier ends that are not acknowledged by then no
-  // longer count. Acknowledged ends are not reported again.
-  std::int64_t last_expired_end = 0;
-  for (const RunEnd& end : reply.ends) {
-    if (end.kind == RunEndKind::kLeaseExpired) last_expired_end = end.number;
-  }
   for (const RunEnd& end : reply.ends) {
     if (end.number <= target.last_end_processed) continue;
     // An earlier owner may have started tasks of a job whose row has not
@@ -99,16 +86,8 @@
         now < owner.owned_since + kUnknownRunGrace &&
         FindJob(owner, end.task.job) == nullptr;
     if (job_may_be_unloaded) break;
-    // A run started after the poll was sent is covered by the lease in its
-    // start request.
-    const auto run = target.runs.find(end.task);
-    const bool started_after_poll =
-        run != target.runs.end() && run->second.number == end.run &&
-        run->second.start_sent_at >= request.sent_at;
-    const bool counts = (!lease_expired || started_after_poll) &&
-                        end.number >= last_expired_end;
     target.last_end_processed = end.number;
-    HandleRunEnd(owner, target, end, counts, context);
+    HandleRunEnd(owner, target, end, context);
     owner.unstored_ends.push_back(
         {.target = target.entry.id,
          .started_unix_ms = target.entry.started_unix_ms,
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -262,7 +262,6 @@
                                .run = request.run,
                                .last_end_stored = request.last_end_stored,
                                .sent_at = context.time.now,
-                               .previous_lease_until_ms = target.lease_until_ms,
                                .started_unix_ms = target.entry.started_unix_ms};
   if (extend_lease && target.unanswered_polls > 0) {
     // The runs of an unresponsive target are dropped when its lease expires, so
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -504,8 +504,7 @@
                                              const TargetRequest& request) {
   const SimulatedTarget& target_state = targets_[ToIndex(target)];
   for (const RunEnd& end : target_state.tasks.ends) {
-    const bool acknowledged = end.number <= request.last_end_stored &&
-                              end.number > target_state.last_discarded_end;
+    const bool acknowledged = end.number <= request.last_end_stored;
     if (acknowledged && end.kind == RunEndKind::kDone) {
       acknowledged_tasks_.insert(end.task);
     }
@@ -610,7 +609,6 @@
   SimulatedTarget& target_state = targets_[ToIndex(target)];
   const std::int64_t last_end = target_state.tasks.next_end_number - 1;
   if (!EndRunsIfLeaseExpired(target_state.tasks, TargetClockMs())) return;
-  target_state.last_discarded_end = last_end;
   if (target_state.tasks.next_end_number - 1 != last_end) {
     AnswerWaitingPolls(target);
   }
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -111,9 +111,6 @@
     std::set<TaskName> stopping;
     bool down = false;
     bool listed = true;
-    /// Ends up to here were reported before a lease expired. Acknowledging them
-    /// later has no effect.
-    std::int64_t last_discarded_end = 0;
     /// Callbacks that answer polls which wait for an end.
     std::vector<std::function<void()>> waiting_polls;
   };
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -162,6 +162,43 @@
   ExpectNoViolation(simulation);
 }
 
+// khumbu-sched-large small trouble-1, TWICE: ends that targets reported after a
+// lease had expired did not count, and their tasks were started again.
+TEST_CASE("a task that is done is not restarted if a lease expired after it") {
+  FleetSimulation simulation(32, 3, 4);
+  simulation.task_duration = seconds(2);
+  JobSpec lasting = SimpleJob(4, false);
+  lasting.steps[0].long_running = true;
+  simulation.Run(seconds(1));
+  simulation.Submit(JobId(1), lasting);
+  simulation.Submit(JobId(2), SimpleJob(8, false));
+  simulation.Run(milliseconds(600));
+  const int owner = simulation.OwnerIndex();
+  REQUIRE(owner >= 0);
+  SECTION("all hosts are lost and the store is down") {
+    simulation.SetStoreDown(true);
+    for (int n = 0; n < 3; ++n) simulation.KillEntry(n);
+  }
+  SECTION("the owner is frozen and no other host reaches the store") {
+    simulation.FreezeEntry(owner, seconds(8));
+    for (int n = 0; n < 3; ++n) simulation.DisconnectFromStore(n, n != owner);
+  }
+  simulation.Run(seconds(8));
+  simulation.SetStoreDown(false);
+  simulation.Run(seconds(8));
+  CHECK(simulation.StateOf(JobId(2)) == JobState::kCompleted);
+  std::int64_t lasting_starts = 0;
+  for (std::int64_t n = 0; n < 4; ++n) {
+    lasting_starts += simulation.StartsOf({JobId(1), 0, 0, n});
+  }
+  CHECK(lasting_starts == 8);
+  for (std::int64_t n = 0; n < 8; ++n) {
+    CAPTURE(n);
+    CHECK(simulation.StartsOf({JobId(2), 0, 0, n}) == 1);
+  }
+  ExpectNoViolation(simulation);
+}
+
 TEST_CASE("tasks of a crashed target run elsewhere") {
   FleetSimulation simulation(5, 3, 4);
   simulation.task_duration = seconds(2);
