--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -4,6 +4,7 @@
 #include <h2o/http1client.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <map>
 #include <tuple>
 #include <unordered_map>
@@ -19,6 +20,8 @@
 /// their own deadlines.
 constexpr std::uint64_t kIoTimeoutMs = 24ULL * 3600 * 1000;
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
+/// A response of which nothing arrives for this long has stalled.
+constexpr Duration kMaxStall = std::chrono::milliseconds(700);
 
 std::string FormatRequest(const ClientRequest& client_request) {
   const HttpRequest& request = client_request.request;
@@ -75,7 +78,9 @@
     std::string request_text;
     h2o_iovec_t write_buffer{};
     TimerId timer;
+    Instant transfer_deadline;
     bool sent = false;
+    bool progressed = false;  ///< Since `timer` was set.
     HttpResponse response;
     TransferCallback callback;
   };
@@ -201,6 +206,7 @@
       Finish(exchange, FailureResult(exchange));
       return nullptr;
     }
+    exchange.progressed = true;
     exchange.response.status = status;
     for (std::size_t n = 0; n < count; ++n) {
       std::string name(headers[n].name->base, headers[n].name->len);
@@ -220,6 +226,7 @@
       Finish(exchange, TransferResult::kBroken);
       return 0;
     }
+    exchange.progressed = true;
     h2o_buffer_t** input = &client->sock->input;
     exchange.response.body.append((*input)->bytes, (*input)->size);
     h2o_buffer_consume(input, (*input)->size);
@@ -232,10 +239,22 @@
     return 0;
   }
 
+  void SetDeadline(Exchange& exchange, Instant deadline) {
+    exchange.progressed = false;
+    exchange.timer = loop.CallAt(
+        deadline, [this, number = exchange.number] { OnDeadline(number); });
+  }
+
   void OnDeadline(std::int64_t number) {
     auto it = exchanges.find(number);
     if (it == exchanges.end() || it->second->client == nullptr) return;
     Exchange& exchange = *it->second;
+    const Instant now = loop.Now();
+    if (exchange.progressed && now < exchange.transfer_deadline) {
+      SetDeadline(exchange,
+                  std::min(now + kMaxStall, exchange.transfer_deadline));
+      return;
+    }
     ResetOnClose(exchange.client);
     h2o_http1client_cancel(exchange.client);
     Finish(exchange, exchange.sent ? TransferResult::kTimedOut
@@ -275,8 +294,8 @@
   exchange->number = number;
   exchange->request_text = FormatRequest(request);
   exchange->callback = std::move(callback);
-  exchange->timer = impl_->loop.CallAt(
-      request.deadline, [this, number] { impl_->OnDeadline(number); });
+  exchange->transfer_deadline = request.transfer_deadline;
+  impl_->SetDeadline(*exchange, request.deadline);
   Impl::Exchange& started =
       *impl_->exchanges.emplace(number, std::move(exchange)).first->second;
   impl_->Connect(started, request);
--- a/Source/Http/http_client.h
+++ b/Source/Http/http_client.h
@@ -25,6 +25,9 @@
   Address address;
   HttpRequest request;
   Instant deadline;
+  /// A response that is arriving at `deadline` may take until then, as long as
+  /// further parts of it arrive. No effect if it is not after `deadline`.
+  Instant transfer_deadline{};
   bool fresh_connection =
       false;  ///< Use a new connection and close it afterwards.
 };
