Owner: Poll a target before its runs are given up

A new owner gives up the runs recorded on a target once the last lease that an earlier owner may have given has expired, 10.65 s after it took the fleet, if the target has not replied to it. It polls targets only after it has read the jobs.

Runs are now given up only on targets that have left a poll of this owner unanswered, or that are not listed and cannot be polled.

The test fails without the change (no run is left before the first poll).

--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -324,7 +324,11 @@
 void AdvanceTarget(Owner& owner, TargetView& target, Context& context) {
   const Instant now = context.time.now;
   if (target.retired || !owner.jobs_loaded) return;
-  const bool unresponsive = !target.synced || target.unanswered_polls > 0;
+  // A target that has not been polled may still report how its runs ended; one
+  // that is not listed cannot be polled.
+  const bool unlisted =
+      !target.synced && owner.targets_loaded && target.entry.address.empty();
+  const bool unresponsive = unlisted || target.unanswered_polls > 0;
   const bool lease_expired =
       unresponsive && now > target.latest_lease_end && !target.runs.empty();
   if (lease_expired) {
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -670,6 +670,43 @@
   CHECK(owner.start_count == 0);
 }
 
+// khumbu-sched-large small trouble-1: an owner that had read its tables for 30
+// s gave up the runs of 124 targets at once, although it had not polled them
+// yet.
+TEST_CASE("an owner polls a target before it gives up the runs on it") {
+  ContextFixture fixture;
+  Context context = fixture.MakeContext();
+  Owner owner;
+  owner.owned_since = Instant(seconds(60));
+  owner.target_requests_allowed_until = Instant(seconds(99));
+  owner.jobs_loaded = owner.progress_loaded = owner.targets_loaded = true;
+  Job& job = owner.jobs[JobId(1)];
+  job.record = {.id = JobId(1), .pool = "desk", .spec = SimpleJob(1, false)};
+  job.open_occurrences[0] = NewOccurrence(job.record.spec, {});
+  TargetView& target = owner.targets["i-1"];
+  target.entry = {.id = "i-1", .pool = "desk", .address = "10.0.0.1:80"};
+  RestoreAssignment(owner, job, {JobId(1), 0, 0, 0}, {"i-1", 0, 1}, context);
+  AdvanceOwner(owner, context);
+  CHECK(target.runs.size() == 1);
+  REQUIRE(target.pending_poll != 0);
+  SECTION("the poll brings the end of the run") {
+    const TargetReply reply{.result = TargetResult::kDone,
+                            .clock_ms = 1,
+                            .ends = {{.number = 1,
+                                      .task = {JobId(1), 0, 0, 0},
+                                      .run = 1,
+                                      .kind = RunEndKind::kDone}}};
+    HandleTargetReply(owner, target.pending_poll, reply, context);
+    CHECK(job.state == JobState::kCompleted);
+  }
+  SECTION("the poll gets no reply") {
+    HandleTargetReply(owner, target.pending_poll, {}, context);
+    owner.next_round = context.time.now;
+    AdvanceOwner(owner, context);
+    CHECK(target.runs.empty());
+  }
+}
+
 TEST_CASE("an owner that is ready knows the waiting jobs of its queues") {
   EntryState entry;
   entry.configuration.emplace();
