--- a/Tests/Platform/client_test.cc
+++ b/Tests/Platform/client_test.cc
@@ -7,7 +7,10 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "Http/http_server.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow::platform {
@@ -111,5 +114,77 @@
   CHECK(SteadyNow() - start < seconds(5));
 }
 
+/// A store with two jobs in each of three partitions, which refuses the request
+/// with the number `refused_request`.
+class PartitionedStore {
+ public:
+  PartitionedStore(EventLoop& loop, int refused_request)
+      : server_(loop, {},
+                [this, refused_request](const HttpRequest& request,
+                                        const Responder& responder) {
+                  ++request_count;
+                  HttpResponse response = Page(request.query);
+                  if (request_count == refused_request) response.status = 503;
+                  responder.Send(response);
+                }) {
+    REQUIRE(server_.Listen({"127.0.0.1", 0}).ok());
+  }
+
+  Address BoundAddress() const { return server_.BoundAddress(); }
+
+  int request_count = 0;
+
+ private:
+  /// A page of one row, or of none after the second row.
+  static HttpResponse Page(const std::string& query) {
+    const char part = query[query.find("part=jobs.") + 10];
+    if (query.find("From=b") < query.size()) return MakePage("");
+    const bool second = query.find("From=a") < query.size();
+    return MakePage(StrCat(second ? "b" : "a", std::string(1, part)));
+  }
+
+  static HttpResponse MakePage(const std::string& key) {
+    const std::string row =
+        key.empty() ? "" : StrCat(R"({"Key":")", key, R"(","Value":"e30="})");
+    HttpResponse response;
+    response.body = StrCat(R"({"Ver":9,"rows":[)", row, "]}");
+    return response;
+  }
+
+  HttpServer server_;
+};
+
+/// Reads all jobs page by page, as a table follower does, and returns the keys.
+std::vector<std::string> ReadAllJobs(EventLoop& loop, PlatformClient& client) {
+  std::vector<std::string> keys;
+  fleet::ReadRows request{.id = 1, .table = fleet::Table::kJobs};
+  for (bool more = true; more;) {
+    std::optional<fleet::StoreRows> page;
+    client.Read(request, [&](const fleet::StoreRows& rows) { page = rows; });
+    while (!page.has_value()) loop.RunOnce(SteadyNow() + milliseconds(50));
+    if (page->status != StoreStatus::kOk) continue;
+    for (const Row& row : page->rows) keys.push_back(row.key);
+    request.first = page->last_key + '\x01';
+    more = page->truncated;
+  }
+  return keys;
+}
+
+// A new owner started its read of all jobs anew, from the first partition, when
+// the store refused one page of it.
+TEST_CASE("a read of the jobs continues with the page that failed") {
+  EventLoop loop;
+  PartitionedStore store(loop, 5);
+  PlatformSettings settings;
+  settings.store = store.BoundAddress();
+  settings.job_parts = 3;
+  settings.rows_per_read = 1;
+  PlatformClient client(loop, settings);
+  CHECK(ReadAllJobs(loop, client) ==
+        std::vector<std::string>{"a0", "b0", "a1", "b1", "a2", "b2"});
+  constexpr int kPages = 9;
+  CHECK(store.request_count == kPages + 1);
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::platform
