Owner: Report the owner's load each second

The owner now logs `owner_load` once a second: commits, their rows and latency, the most rows that did not fit, starts, ends, the latency of start requests, and jobs.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -6,6 +6,7 @@
 #include "Model/text.h"
 #include "Policy/host_manager.h"
 #include "Policy/owner_commits.h"
+#include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
 #include "Policy/store_keys.h"
@@ -419,6 +420,7 @@
     PlaceTasks(owner, context);
   }
   if (owner.next_round <= now) AdvanceTargets(owner, context);
+  ReportLoad(owner, context);
   CommitChanges(owner, context, sweep);
 }
 
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -206,11 +206,11 @@
 struct PendingCommit {
   std::int64_t id = 0;
   Instant sent_at{};
-  bool full = false;  ///< Changed jobs were left for the next commit.
   std::map<std::string, bool> jobs;  ///< Whether the state written is final.
   std::vector<std::string> removed_jobs;  ///< Jobs whose rows are deleted.
   std::map<std::int64_t, bool> waves;     ///< Whether written as completed.
   std::deque<UnstoredEnd> ends;           ///< Whose effect it stores.
+  std::size_t rows_left = 0;              ///< Changed rows that did not fit.
   /// Assignments that the commit stores; their starts are sent after it.
   std::vector<std::pair<TaskName, Assignment>> starts_to_send;
 };
@@ -225,6 +225,21 @@
   Instant usable_from{};      ///< Not used before, after a loss.
 };
 
+/// What the owner has done since its last report of its load.
+struct OwnerLoad {
+  Instant next_report{};
+  std::int64_t commits = 0;         ///< Answered by the store.
+  std::int64_t rows = 0;            ///< Written by these commits.
+  std::int64_t most_rows_left = 0;  ///< Changed rows that did not fit.
+  Duration commit_time{};           ///< Sum over `commits`.
+  Duration slowest_commit{};
+  std::int64_t start_replies = 0;
+  Duration start_time{};  ///< Sum over `start_replies`.
+  Duration slowest_start{};
+  std::int64_t starts_before = 0;  ///< Owner::start_count at the last report.
+  std::int64_t ends_before = 0;    ///< Owner::end_count at the last report.
+};
+
 /// State of the owner of the fleet.
 struct Owner {
   std::int64_t epoch = 0;
@@ -288,6 +303,7 @@
   std::map<std::string, std::int64_t, std::less<>> waiting_jobs;
   std::int64_t start_count = 0;  ///< Runs planned by this owner.
   std::int64_t end_count = 0;    ///< Run ends handled by this owner.
+  OwnerLoad load;
 };
 
 /// True while the ownership lease allows requests to targets.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -7,6 +7,7 @@
 
 #include "Model/text.h"
 #include "Policy/host_manager.h"
+#include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
 #include "Policy/store_keys.h"
@@ -171,7 +172,7 @@
     pending.jobs[id] = IsFinal(job.state);
     CollectStarts(owner, it->second, pending);
   }
-  pending.full = !owner.changed_jobs.empty();
+  pending.rows_left = owner.changed_jobs.size();
   pending.ends = TakeCoveredEnds(owner);
   AddWaveWrites(owner, pending, commit);
   if (sweep) AddExpiredJobRemovals(owner, pending, commit, context);
@@ -206,9 +207,12 @@
   const PendingCommit pending = *std::move(owner.pending_commit);
   owner.pending_commit.reset();
   if (reply.status == StoreStatus::kOk) {
+    RecordCommit(owner.load, pending.jobs.size(), pending.rows_left,
+                 context.time.now - pending.sent_at);
     owner.commit_revision = reply.revision;
+    const bool full = pending.rows_left > 0;
     owner.next_commit =
-        pending.full ? context.time.now : context.time.now + kMinCommitInterval;
+        full ? context.time.now : context.time.now + kMinCommitInterval;
     owner.commit_timeout =
         kCommitTimeoutFactor * (context.time.now - pending.sent_at);
     HandleCommitSuccess(owner, pending, context);
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -3,6 +3,7 @@
 
 #include "Model/text.h"
 #include "Policy/owner_ends.h"
+#include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
@@ -140,6 +141,7 @@
   Task* task = job == nullptr ? nullptr : FindTask(*job, name);
   switch (reply.result) {
     case TargetResult::kDone:
+      RecordStartReply(owner.load, now - request.sent_at);
       if (!run.confirmed_at) run.confirmed_at = now;
       if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
       if (job != nullptr) job->has_run = true;
