Fleet: Decode relay messages without a tree of values

CborReader reads the items in order and in place. Error texts and the limits on cut or altered messages are as before; bytes after a message are still rejected. Task names are parsed without a list of parts.

Sending only what has changed in a reply was ruled out: the owner drops runs that a reply does not list.

--- a/Source/Fleet/relay_codec.cc
+++ b/Source/Fleet/relay_codec.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 
 #include "Model/cbor.h"
@@ -18,19 +19,47 @@
 /// Longest wait and timeout that a relay accepts.
 constexpr std::int64_t kMaxDurationMs = 10'000;
 
-/// Reads the fields of an encoded row in order and keeps the first error.
+/// A message that is being decoded. After its first error nothing is read.
+struct Message {
+  CborReader items;
+  absl::Status status;
+};
+
+/// Names a list of a message in errors, such as "relay reply 3: run".
+struct RowName {
+  std::string_view kind;
+  std::optional<std::size_t> number;
+  std::string_view part;
+};
+
+std::string ToText(const RowName& name) {
+  const std::string number =
+      name.number.has_value() ? StrCat(" ", *name.number) : std::string();
+  return StrCat(name.kind, number, name.part);
+}
+
+/// Reads the items of a list in order. After an error they have default values.
 class RowReader {
  public:
-  RowReader(const json& row, std::string name)
-      : row_(row), name_(std::move(name)) {
-    if (!row.is_array()) Fail("fields", "a list");
+  /// Begins the next item of the message, which must be a list.
+  RowReader(Message& message, const RowName& name)
+      : message_(message), name_(name) {
+    if (!message_.status.ok()) return;
+    const std::optional<std::size_t> count = message_.items.List();
+    if (!count.has_value()) Fail("fields", "a list");
+    left_ = count.value_or(0);
   }
 
   std::int64_t Integer(std::string_view field) {
-    const json* value = Next();
-    const bool valid = value != nullptr && value->is_number_integer();
-    if (!valid) Fail(field, "an integer");
-    return valid ? value->get<std::int64_t>() : 0;
+    return Take(field, "an integer", &CborReader::Integer);
+  }
+
+  std::optional<std::int64_t> IntegerOrNull(std::string_view field) {
+    const bool is_null =
+        message_.status.ok() && left_ > 0 && message_.items.Null();
+    if (!is_null) return Integer(field);
+    --left_;
+    return std::nullopt;
   }
 
   /// An integer from 0 to `max`.
@@ -42,55 +71,67 @@
   }
 
   bool Flag(std::string_view field) {
-    const json* value = Next();
-    const bool valid = value != nullptr && value->is_boolean();
-    if (!valid) Fail(field, "a boolean");
-    return valid && value->get<bool>();
+    return Take(field, "a boolean", &CborReader::Flag);
   }
 
-  std::string Text(std::string_view field) {
-    const json* value = Next();
-    const bool valid = value != nullptr && value->is_string();
-    if (!valid) Fail(field, "a string");
-    return valid ? value->get<std::string>() : std::string();
+  std::string_view Text(std::string_view field) {
+    return Take(field, "a string", &CborReader::Text);
   }
 
   /// A task name; the empty string stands for none.
   TaskName Task(std::string_view field) {
-    const std::string text = Text(field);
+    const std::string_view text = Text(field);
     if (text.empty()) return {};
-    const std::optional<TaskName> name = ParseTaskName(text);
+    std::optional<TaskName> name = ParseTaskName(text);
     if (!name.has_value()) Fail(field, "a task name");
-    return name.value_or(TaskName{});
+    return std::move(name).value_or(TaskName{});
   }
 
-  const json& List(std::string_view field) {
-    static const json kEmpty = json::array();
-    const json* value = Next();
-    const bool valid = value != nullptr && value->is_array();
-    if (!valid) Fail(field, "a list");
-    return valid ? *value : kEmpty;
+  /// Begins a list, whose items are read next, and returns their number.
+  std::size_t List(std::string_view field) {
+    return Take(field, "a list", &CborReader::List);
   }
 
-  void Fail(std::string_view field, std::string_view expected) {
-    status_.Update(absl::InvalidArgumentError(
-        StrCat(name_, ": field \"", field, "\" must be ", expected)));
+  /// Passes over items that are not read.
+  void SkipRest() {
+    for (; message_.status.ok() && left_ > 0; --left_) {
+      if (!message_.items.Skip()) Fail("fields", "complete");
+    }
   }
 
-  const absl::Status& status() const { return status_; }
+  void Fail(std::string_view field, std::string_view expected) {
+    if (!message_.status.ok()) return;
+    message_.status = absl::InvalidArgumentError(
+        StrCat(ToText(name_), ": field \"", field, "\" must be ", expected));
+  }
 
  private:
-  const json* Next() {
-    const bool present = row_.is_array() && next_ < row_.size();
-    return present ? &row_[next_++] : nullptr;
+  template <typename T>
+  T Take(std::string_view field, std::string_view expected,
+         std::optional<T> (CborReader::*read)()) {
+    if (!message_.status.ok()) return {};
+    const std::optional<T> value =
+        left_ > 0 ? (message_.items.*read)() : std::nullopt;
+    if (!value.has_value()) {
+      Fail(field, expected);
+      return {};
+    }
+    --left_;
+    return *value;
   }
 
-  const json& row_;
-  std::string name_;
-  std::size_t next_ = 0;
-  absl::Status status_;
+  Message& message_;
+  RowName name_;
+  std::size_t left_ = 0;  ///< Items that are not read yet.
 };
 
+/// Fails if bytes follow the message.
+void RequireEnd(Message& message) {
+  if (!message.status.ok() || message.items.AtEnd()) return;
+  message.status = absl::InvalidArgumentError(
+      "relay message: bytes follow the list in CBOR");
+}
+
 std::int64_t ToMs(Duration duration) {
   return duration_cast<milliseconds>(duration).count();
 }
@@ -99,14 +140,6 @@
   return task.job.empty() ? std::string() : ToString(task);
 }
 
-absl::StatusOr<json> FromBytes(const std::string& bytes) {
-  json message = ParseCbor(bytes);
-  if (!message.is_array()) {
-    return absl::InvalidArgumentError("relay message: not a list in CBOR");
-  }
-  return message;
-}
-
 json EncodeRequest(const TargetRequest& request, std::int64_t payload) {
   return {request.id,
           static_cast<std::int64_t>(request.kind),
@@ -127,32 +160,23 @@
           request.fresh_connection};
 }
 
-TargetRequest DecodeRequest(json row, const json& payloads,
-                            const std::string& name, absl::Status& status) {
+TargetRequest DecodeRequest(Message& message,
+                            const std::vector<std::string_view>& payloads,
+                            std::size_t number) {
+  RowReader reader(message, {.kind = "relay request", .number = number});
   TargetRequest request;
-  // A null lease is replaced, because the reader expects integers.
-  constexpr std::size_t kLeaseField = 5;
-  const bool has_lease =
-      row.is_array() && row.size() > kLeaseField && !row[kLeaseField].is_null();
-  if (row.is_array() && row.size() > kLeaseField && !has_lease) {
-    row[kLeaseField] = 0;
-  }
-  RowReader reader(row, name);
   request.id = reader.Integer("id");
   request.kind = static_cast<TargetRequestKind>(reader.Bounded(
       "kind", static_cast<std::int64_t>(TargetRequestKind::kThrottle)));
   request.target = reader.Text("target");
   request.address = reader.Text("address");
   request.fencing_token = reader.Integer("fencing_token");
-  const std::int64_t lease_until_ms = reader.Integer("lease_until_ms");
-  if (has_lease) request.lease_until_ms = lease_until_ms;
+  request.lease_until_ms = reader.IntegerOrNull("lease_until_ms");
   request.task = reader.Task("task");
   request.run = reader.Integer("run");
   const std::int64_t payload = reader.Integer("payload");
-  if (payload >= 0 && payload < static_cast<std::int64_t>(payloads.size()) &&
-      payloads[static_cast<std::size_t>(payload)].is_string()) {
-    request.payload =
-        payloads[static_cast<std::size_t>(payload)].get<std::string>();
+  if (payload >= 0 && payload < static_cast<std::int64_t>(payloads.size())) {
+    request.payload = payloads[static_cast<std::size_t>(payload)];
   } else if (payload != kNoPayload) {
     reader.Fail("payload", "the index of a string in the list of payloads");
   }
@@ -163,7 +187,7 @@
   request.speed_percent = reader.Integer("speed_percent");
   request.timeout = milliseconds(reader.Bounded("timeout_ms", kMaxDurationMs));
   request.fresh_connection = reader.Flag("fresh_connection");
-  status.Update(reader.status());
+  reader.SkipRest();
   return request;
 }
 
@@ -187,41 +211,52 @@
           reply.ends_complete};
 }
 
-std::pair<std::int64_t, TargetReply> DecodeReply(const json& row,
-                                                 const std::string& name,
-                                                 absl::Status& status) {
+ReportedRun DecodeRun(Message& message, std::size_t reply) {
+  RowReader reader(message,
+                   {.kind = "relay reply", .number = reply, .part = ": run"});
+  ReportedRun run;
+  run.task = reader.Task("task");
+  run.run = reader.Integer("run");
+  run.checkpoint = reader.Text("checkpoint");
+  run.speed_percent = reader.Integer("speed_percent");
+  run.load = reader.Integer("load");
+  reader.SkipRest();
+  return run;
+}
+
+RunEnd DecodeEnd(Message& message, std::size_t reply) {
+  RowReader reader(message,
+                   {.kind = "relay reply", .number = reply, .part = ": end"});
+  RunEnd end;
+  end.number = reader.Integer("number");
+  end.task = reader.Task("task");
+  end.run = reader.Integer("run");
+  end.kind = static_cast<RunEndKind>(reader.Bounded(
+      "kind", static_cast<std::int64_t>(RunEndKind::kGangIncomplete)));
+  end.checkpoint = reader.Text("checkpoint");
+  reader.SkipRest();
+  return end;
+}
+
+std::pair<std::int64_t, TargetReply> DecodeReply(Message& message,
+                                                 std::size_t number) {
+  RowReader reader(message, {.kind = "relay reply", .number = number});
   TargetReply reply;
-  RowReader reader(row, name);
   const std::int64_t id = reader.Integer("id");
   reply.result = static_cast<TargetResult>(reader.Bounded(
       "result", static_cast<std::int64_t>(TargetResult::kRelayLost)));
   reply.clock_ms = reader.Integer("clock_ms");
   reply.started_unix_ms = reader.Integer("started_unix_ms");
-  for (const json& run_row : reader.List("runs")) {
-    RowReader fields(run_row, StrCat(name, ": run"));
-    ReportedRun run;
-    run.task = fields.Task("task");
-    run.run = fields.Integer("run");
-    run.checkpoint = fields.Text("checkpoint");
-    run.speed_percent = fields.Integer("speed_percent");
-    run.load = fields.Integer("load");
-    status.Update(fields.status());
-    reply.runs.push_back(std::move(run));
+  const std::size_t runs = reader.List("runs");
+  for (std::size_t n = 0; n < runs && message.status.ok(); ++n) {
+    reply.runs.push_back(DecodeRun(message, number));
   }
-  for (const json& end_row : reader.List("ends")) {
-    RowReader fields(end_row, StrCat(name, ": end"));
-    RunEnd end;
-    end.number = fields.Integer("number");
-    end.task = fields.Task("task");
-    end.run = fields.Integer("run");
-    end.kind = static_cast<RunEndKind>(fields.Bounded(
-        "kind", static_cast<std::int64_t>(RunEndKind::kGangIncomplete)));
-    end.checkpoint = fields.Text("checkpoint");
-    status.Update(fields.status());
-    reply.ends.push_back(std::move(end));
+  const std::size_t ends = reader.List("ends");
+  for (std::size_t n = 0; n < ends && message.status.ok(); ++n) {
+    reply.ends.push_back(DecodeEnd(message, number));
   }
   reply.ends_complete = reader.Flag("ends_complete");
-  status.Update(reader.status());
+  reader.SkipRest();
   return {id, std::move(reply)};
 }
 
@@ -245,19 +280,24 @@
 }
 
 absl::StatusOr<std::vector<TargetRequest>> DecodeRelayRequests(
-    const std::string& message) {
-  const absl::StatusOr<json> parsed = FromBytes(message);
-  if (!parsed.ok()) return parsed.status();
-  RowReader reader(*parsed, "relay requests");
-  const json& payloads = reader.List("payloads");
-  const json& rows = reader.List("requests");
-  absl::Status status = reader.status();
+    const std::string& bytes) {
+  Message message{.items = CborReader(bytes)};
+  RowReader reader(message, {.kind = "relay requests"});
+  const std::size_t payload_count = reader.List("payloads");
+  std::vector<std::string_view> payloads;
+  for (std::size_t n = 0; n < payload_count && message.status.ok(); ++n) {
+    const std::optional<std::string_view> payload = message.items.Text();
+    if (!payload.has_value()) reader.Fail("payloads", "a list of strings");
+    payloads.push_back(payload.value_or(std::string_view()));
+  }
+  const std::size_t count = reader.List("requests");
   std::vector<TargetRequest> requests;
-  for (std::size_t n = 0; n < rows.size() && status.ok(); ++n) {
-    requests.push_back(
-        DecodeRequest(rows[n], payloads, StrCat("relay request ", n), status));
+  for (std::size_t n = 0; n < count && message.status.ok(); ++n) {
+    requests.push_back(DecodeRequest(message, payloads, n));
   }
-  if (!status.ok()) return status;
+  reader.SkipRest();
+  RequireEnd(message);
+  if (!message.status.ok()) return message.status;
   return requests;
 }
 
@@ -269,16 +309,18 @@
   return ToCbor(rows);
 }
 
-absl::StatusOr<RelayReplies> DecodeRelayReplies(const std::string& message) {
-  const absl::StatusOr<json> rows = FromBytes(message);
-  if (!rows.ok()) return rows.status();
-  absl::Status status;
+absl::StatusOr<RelayReplies> DecodeRelayReplies(const std::string& bytes) {
+  Message message{.items = CborReader(bytes)};
+  const std::optional<std::size_t> count = message.items.List();
+  if (!count.has_value()) {
+    return absl::InvalidArgumentError("relay replies: not a list in CBOR");
+  }
   RelayReplies replies;
-  for (std::size_t n = 0; n < rows->size() && status.ok(); ++n) {
-    replies.push_back(
-        DecodeReply((*rows)[n], StrCat("relay reply ", n), status));
+  for (std::size_t n = 0; n < *count && message.status.ok(); ++n) {
+    replies.push_back(DecodeReply(message, n));
   }
-  if (!status.ok()) return status;
+  RequireEnd(message);
+  if (!message.status.ok()) return message.status;
   return replies;
 }
 
--- a/Source/Fleet/relay_codec.h
+++ b/Source/Fleet/relay_codec.h
@@ -20,12 +20,12 @@
 
 /// Errors: kInvalidArgument naming the request and the field.
 absl::StatusOr<std::vector<TargetRequest>> DecodeRelayRequests(
-    const std::string& message);
+    const std::string& bytes);
 
 std::string EncodeRelayReplies(const RelayReplies& replies);
 
 /// Errors: kInvalidArgument naming the reply and the field.
-absl::StatusOr<RelayReplies> DecodeRelayReplies(const std::string& message);
+absl::StatusOr<RelayReplies> DecodeRelayReplies(const std::string& bytes);
 
 }  // namespace hyssopbarrow::fleet
 
--- a/Source/Model/cbor.cc
+++ b/Source/Model/cbor.cc
@@ -1,6 +1,129 @@
 #include "Model/cbor.h"
 
+#include <limits>
+
 namespace hyssopbarrow {
+namespace {
+
+/// Major types of CBOR (RFC 8949, section 3.1).
+enum class CborType : std::uint8_t {
+  kUnsigned = 0,
+  kNegative = 1,
+  kBytes = 2,
+  kText = 3,
+  kList = 4,
+  kMap = 5,
+  kTag = 6,
+  kSimple = 7,
+};
+
+constexpr std::uint64_t kFalse = 20;
+constexpr std::uint64_t kTrue = 21;
+constexpr std::uint64_t kNull = 22;
+constexpr std::uint64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
+
+/// The initial bytes of an item: its type, and its value, length or count.
+struct CborHead {
+  CborType type = CborType::kSimple;
+  std::uint64_t argument = 0;
+  std::size_t size = 0;  ///< Number of these bytes.
+};
+
+std::optional<CborHead> ReadHead(std::string_view bytes) {
+  if (bytes.empty()) return std::nullopt;
+  constexpr unsigned kTypeShift = 5;
+  constexpr unsigned kDetailMask = 31;
+  constexpr unsigned kFirstSizedDetail = 24;  // 1, 2, 4 or 8 bytes follow.
+  constexpr unsigned kLastSizedDetail = 27;
+  constexpr unsigned kBitsPerByte = 8;
+  const auto first = static_cast<unsigned char>(bytes.front());
+  const unsigned detail = first & kDetailMask;
+  CborHead head{.type = static_cast<CborType>(first >> kTypeShift),
+                .argument = detail,
+                .size = 1};
+  if (detail < kFirstSizedDetail) return head;
+  if (detail > kLastSizedDetail) return std::nullopt;
+  head.size += std::size_t{1} << (detail - kFirstSizedDetail);
+  if (bytes.size() < head.size) return std::nullopt;
+  head.argument = 0;
+  for (const char c : bytes.substr(1, head.size - 1)) {
+    head.argument =
+        (head.argument << kBitsPerByte) | static_cast<unsigned char>(c);
+  }
+  return head;
+}
+
+}  // namespace
+
+std::optional<std::size_t> CborReader::List() {
+  const std::optional<CborHead> head = ReadHead(rest_);
+  // An item takes a byte at least.
+  const bool valid = head.has_value() && head->type == CborType::kList &&
+                     head->argument <= rest_.size() - head->size;
+  if (!valid) return std::nullopt;
+  rest_.remove_prefix(head->size);
+  return static_cast<std::size_t>(head->argument);
+}
+
+std::optional<std::int64_t> CborReader::Integer() {
+  const std::optional<CborHead> head = ReadHead(rest_);
+  if (!head.has_value() || head->argument > kMaxInteger) return std::nullopt;
+  const auto argument = static_cast<std::int64_t>(head->argument);
+  if (head->type != CborType::kUnsigned && head->type != CborType::kNegative) {
+    return std::nullopt;
+  }
+  rest_.remove_prefix(head->size);
+  return head->type == CborType::kUnsigned ? argument : -1 - argument;
+}
+
+std::optional<bool> CborReader::Flag() {
+  const std::optional<CborHead> head = ReadHead(rest_);
+  const bool valid = head.has_value() && head->type == CborType::kSimple &&
+                     head->size == 1 &&
+                     (head->argument == kFalse || head->argument == kTrue);
+  if (!valid) return std::nullopt;
+  rest_.remove_prefix(head->size);
+  return head->argument == kTrue;
+}
+
+std::optional<std::string_view> CborReader::Text() {
+  const std::optional<CborHead> head = ReadHead(rest_);
+  const bool valid = head.has_value() && head->type == CborType::kText &&
+                     head->argument <= rest_.size() - head->size;
+  if (!valid) return std::nullopt;
+  const auto size = static_cast<std::size_t>(head->argument);
+  const std::string_view text = rest_.substr(head->size, size);
+  rest_.remove_prefix(head->size + size);
+  return text;
+}
+
+bool CborReader::Null() {
+  const std::optional<CborHead> head = ReadHead(rest_);
+  const bool valid = head.has_value() && head->type == CborType::kSimple &&
+                     head->size == 1 && head->argument == kNull;
+  if (valid) rest_.remove_prefix(head->size);
+  return valid;
+}
+
+bool CborReader::Skip() {
+  std::string_view rest = rest_;
+  for (std::uint64_t items = 1; items > 0; --items) {
+    const std::optional<CborHead> head = ReadHead(rest);
+    if (!head.has_value()) return false;
+    rest.remove_prefix(head->size);
+    const bool has_bytes =
+        head->type == CborType::kBytes || head->type == CborType::kText;
+    const bool has_items =
+        head->type == CborType::kList || head->type == CborType::kMap;
+    if ((has_bytes || has_items) && head->argument > rest.size()) return false;
+    if (has_bytes) rest.remove_prefix(static_cast<std::size_t>(head->argument));
+    if (head->type == CborType::kTag) ++items;
+    if (head->type == CborType::kList) items += head->argument;
+    if (head->type == CborType::kMap) items += 2 * head->argument;
+  }
+  rest_ = rest;
+  return true;
+}
 
 std::string ToCbor(const nlohmann::json& value) {
   std::string bytes;
--- a/Source/Model/cbor.h
+++ b/Source/Model/cbor.h
@@ -1,7 +1,10 @@
 #ifndef HYSSOPBARROW_MODEL_CBOR_H_
 #define HYSSOPBARROW_MODEL_CBOR_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +16,31 @@
 /// lengths even with allow_exceptions set to false.
 nlohmann::json ParseCbor(std::string_view bytes);
 
+/// Reads CBOR items in order without building a tree of values. A read that
+/// finds no item of its type returns nothing and leaves the position as it was.
+/// Only items of definite length are read, as ToCbor writes them. The bytes
+/// must outlive the reader and the texts that it returns.
+class CborReader {
+ public:
+  explicit CborReader(std::string_view bytes) : rest_(bytes) {}
+
+  /// Begins a list and returns the number of its items, which follow.
+  std::optional<std::size_t> List();
+  std::optional<std::int64_t> Integer();
+  std::optional<bool> Flag();
+  std::optional<std::string_view> Text();
+  /// Returns true if a null was read.
+  bool Null();
+  /// Passes over an item of any type and all items in it. Returns false if the
+  /// bytes end before it does.
+  bool Skip();
+
+  bool AtEnd() const { return rest_.empty(); }
+
+ private:
+  std::string_view rest_;
+};
+
 }  // namespace hyssopbarrow
 
 #endif  // HYSSOPBARROW_MODEL_CBOR_H_
--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -200,13 +200,19 @@
 }
 
 std::optional<TaskName> ParseTaskName(std::string_view text) {
-  const std::vector<std::string> parts = Split(text, '.');
-  if (parts.size() != 4) return std::nullopt;
-  const auto occurrence = ParseInteger<std::int64_t>(parts[1]);
-  const auto step = ParseInteger<std::int64_t>(parts[2]);
-  const auto index = ParseInteger<std::int64_t>(parts[3]);
-  if (!occurrence || !step || !index) return std::nullopt;
-  return TaskName{parts[0], *occurrence, *step, *index};
+  TaskName name;
+  std::size_t end = text.find('.');
+  name.job = text.substr(0, end);
+  for (std::int64_t* field : {&name.occurrence, &name.step, &name.index}) {
+    if (end == std::string_view::npos) return std::nullopt;
+    text.remove_prefix(end + 1);
+    end = text.find('.');
+    const auto value = ParseInteger<std::int64_t>(text.substr(0, end));
+    if (!value.has_value()) return std::nullopt;
+    *field = *value;
+  }
+  if (end != std::string_view::npos) return std::nullopt;
+  return name;
 }
 
 nlohmann::json ToJson(const JobRecord& record) {
