--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -18,6 +18,8 @@
 constexpr Duration kMinCallDuration = milliseconds(50);
 constexpr Duration kMaxCallDuration = milliseconds(5000);
 constexpr Duration kOwnerQueryRetryDelay = milliseconds(60);
+/// A count that an owner does not know now changes with its next sweep.
+constexpr Duration kWaitingRetryDelay = milliseconds(250);
 constexpr Duration kStoreRetryDelay = milliseconds(150);
 
 RowRef JobRowRef(const std::string& id) { return {Table::kJobs, id}; }
@@ -88,7 +90,7 @@
         Answer(call,
                {.outcome = CallOutcome::kWaiting, .waiting = reply.waiting});
       } else {
-        ScheduleRetry(call, kOwnerQueryRetryDelay);
+        ScheduleRetry(call, kWaitingRetryDelay);
       }
       return;
     }
