Policy: Take a count of jobs as old as the table it was made from

The comment on the lease is put right: without the store an owner may go on for 6 s while another takes over, so only the age bounds the answer.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -26,9 +26,8 @@
 constexpr Duration kFullRoundInterval = milliseconds(50);
 /// Per job. Further occurrences open once earlier ones are complete.
 constexpr std::int64_t kMaxOpenOccurrences = 64;
-/// Callers are told a number of waiting jobs that is at most 2 s old, of which
-/// the sweep that counts them takes up to kSweepInterval.
-constexpr Duration kMaxWaitingCountAge = milliseconds(2000) - kSweepInterval;
+/// Callers are told a number of waiting jobs that is at most this old.
+constexpr Duration kMaxWaitingCountAge = milliseconds(2000);
 /// Leaves time for a start to reach its target before a cancel must be known
 /// there, which users expect after 3 s.
 constexpr Duration kMaxTableAgeForStarts = milliseconds(2000);
@@ -156,6 +155,7 @@
 
 void RecountWaitingJobs(Owner& owner) {
   owner.waiting_jobs.clear();
+  owner.waiting_known_at = owner.jobs_known_at;
   for (const std::string& id : owner.active_jobs) {
     const Job& job = owner.jobs.at(id);
     const bool waits = !job.has_run && job.record.spec.repeats == 0;
@@ -437,7 +437,7 @@
                                              std::string_view queue,
                                              Instant now) {
   const bool known = owner.ready && MaySendTargetRequests(owner, now) &&
-                     now - owner.jobs_known_at <= kMaxWaitingCountAge;
+                     now - owner.waiting_known_at <= kMaxWaitingCountAge;
   if (!known) return std::nullopt;
   auto it = owner.waiting_jobs.find(queue);
   return it == owner.waiting_jobs.end() ? 0 : it->second;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -301,6 +301,7 @@
   /// of the moment at which the owner was ready. Timed
   /// jobs, which have `repeats` > 0, are not counted.
   std::map<std::string, std::int64_t, std::less<>> waiting_jobs;
+  Instant waiting_known_at{};    ///< `jobs_known_at` when they were counted.
   std::int64_t start_count = 0;  ///< Runs planned by this owner.
   std::int64_t end_count = 0;    ///< Run ends handled by this owner.
   OwnerLoad load;
@@ -354,7 +355,7 @@
 Instant NextDeadline(const Owner& owner, Instant now);
 
 /// Number of jobs of `queue` in Owner::waiting_jobs. Empty if it may be older
-/// than callers are promised, or if another host may own the fleet.
+/// than callers are promised.
 std::optional<std::int64_t> CountWaitingJobs(const Owner& owner,
                                              std::string_view queue,
                                              Instant now);
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -723,8 +723,8 @@
   job.record = {.id = JobId(1), .queue = "book", .spec = SimpleJob(1, false)};
   owner.active_jobs.insert(JobId(1));
   owner.jobs_loaded = true;
-  OnTick(entry, {.now = Instant(seconds(10) + milliseconds(1))}, out);
   owner.jobs_known_at = Instant(seconds(10));
+  OnTick(entry, {.now = Instant(seconds(10) + milliseconds(1))}, out);
   owner.target_requests_allowed_until = Instant(seconds(11));
   const OwnerReply reply = query();
   CHECK(reply.answered);
