Policy: Bound the age of each table for starts by itself

Found in review: one bound of 2 s for both tables leaves nothing for the way of a start to a target that has begun to drain, which is to get none after 2 s (DRAIN). The table of targets may now be 1.4 s old; its watches wait 0.25 s, so that it is not older than that while the store answers.

What is planned just below the bound was dropped again once it was stored, and planned and stored anew; nothing said so. Planning now needs tables that are 0.5 s younger, and a start that is dropped is logged as start_dropped.

--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -134,7 +134,7 @@
   /// Each target writes every 1.5 s. The watch delay batches the changes, which
   /// are known that much later.
   TableFollower targets_follower{.table = Table::kTargets,
-                                 .watch_wait = std::chrono::milliseconds(500),
+                                 .watch_wait = std::chrono::milliseconds(250),
                                  .watch_delay = std::chrono::milliseconds(250)};
   Ownership ownership;
   std::optional<Owner> owner;
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -28,9 +28,12 @@
 constexpr std::int64_t kMaxOpenOccurrences = 64;
 /// Callers are told a number of waiting jobs that is at most this old.
 constexpr Duration kMaxWaitingCountAge = milliseconds(2000);
-/// Leaves time for a start to reach its target before a cancel must be known
-/// there, which users expect after 3 s.
-constexpr Duration kMaxTableAgeForStarts = milliseconds(2000);
+/// Leave time for a start to reach its target: users expect that no task starts
+/// 3 s after its job was cancelled or 2 s after its target began to drain.
+constexpr Duration kMaxJobsAgeForStarts = milliseconds(2000);
+constexpr Duration kMaxTargetsAgeForStarts = milliseconds(1400);
+/// What is planned must still be allowed to start once it is stored.
+constexpr Duration kTimeToStorePlan = milliseconds(500);
 /// Limits the effect of a wrong clock on the age of a job.
 constexpr std::int64_t kMaxJobAgeMs = 600'000;
 
@@ -225,7 +228,9 @@
 }
 
 bool MayPlaceTasks(const Owner& owner, Instant now) {
-  return owner.placement_due && owner.ready && MayStartTasks(owner, now);
+  return owner.placement_due && owner.ready &&
+         MaySendTargetRequests(owner, now) &&
+         AreTablesCurrent(owner, now + kTimeToStorePlan);
 }
 
 /// Logs when starts begin and cease to wait for the tables.
@@ -252,9 +257,8 @@
 }
 
 bool AreTablesCurrent(const Owner& owner, Instant now) {
-  const Instant known_at =
-      std::min(owner.jobs_known_at, owner.targets_known_at);
-  return now - known_at <= kMaxTableAgeForStarts;
+  return now - owner.jobs_known_at <= kMaxJobsAgeForStarts &&
+         now - owner.targets_known_at <= kMaxTargetsAgeForStarts;
 }
 
 bool MayStartTasks(const Owner& owner, Instant now) {
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -58,6 +58,13 @@
     const bool usable = MayStartTasks(owner, context.time.now) &&
                         IsUsable(target->second, context.time.now);
     if (!usable) {
+      Log(context, Severity::kWarn, "start_dropped",
+          {{"task", ToString(name)},
+           {"run", std::to_string(assignment.run)},
+           {"target", assignment.target},
+           {"reason", MayStartTasks(owner, context.time.now)
+                          ? "the target is not usable"
+                          : "the lease or the tables are out of date"}});
       DropRun(owner, target->second, name);
       continue;
     }
--- a/Tests/Fleet/table_age_test.cc
+++ b/Tests/Fleet/table_age_test.cc
@@ -113,5 +113,21 @@
   CHECK(simulation.QueryWaiting().answered);
 }
 
+// Guards against starts on targets that began to drain before the owner heard
+// of it: a table of targets may be 1.4 s old, a table of jobs 2 s.
+TEST_CASE("starts need both tables, and the targets table more recent") {
+  Owner owner;
+  const Instant now(seconds(90));
+  owner.target_requests_allowed_until = now + seconds(1);
+  const auto may_start = [&](int jobs_age_ms, int targets_age_ms) {
+    owner.jobs_known_at = now - milliseconds(jobs_age_ms);
+    owner.targets_known_at = now - milliseconds(targets_age_ms);
+    return MayStartTasks(owner, now);
+  };
+  CHECK(may_start(2000, 1400));
+  CHECK_FALSE(may_start(2001, 0));
+  CHECK_FALSE(may_start(0, 1401));
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
