Policy: Deal out spare hosts by need, not by the names of pools

Cause: in each round of planning a pool took spare hosts until its demand and its headroom, 8% of all hosts even when idle, were covered, in the order of the pools' names. Later pools got what was left.

Hosts now go one at a time to the pool that has the smallest part of what its present demand needs, and only then to headroom in the same way.

Two of the three tests fail on the former code: an idle pool's headroom comes before another's demand, and one of two equal pools gets all ten hosts.

--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -70,8 +70,10 @@
     if (pool.spare) continue;
     auto it = cpu_demand.find(name);
     const double cpu_milli = it == cpu_demand.end() ? 0 : it->second;
-    demands[name].required_hosts = std::max(
-        1.0, kHeadroomFactor * cpu_milli / host_cpu_milli + headroom_hosts);
+    PoolDemand& demand = demands[name];
+    const double for_demand = kHeadroomFactor * cpu_milli / host_cpu_milli;
+    demand.needed_hosts = std::max(1.0, for_demand);
+    demand.required_hosts = std::max(1.0, for_demand + headroom_hosts);
   }
   for (const auto& [name, host] : host_manager_.hosts) {
     if (host.operation == HostOperation::kMove) {
@@ -84,12 +86,22 @@
       ++demands[host.host.pool].available_hosts;
     }
   }
+  bool any_short = false;
   for (auto& [name, demand] : demands) {
     if (demand.required_hosts > demand.available_hosts) {
       host_manager_.last_saturated[name] = now();
+      any_short = true;
     }
   }
-  for (auto& [name, demand] : demands) MoveHostsToPool(name, demand, demands);
+  if (any_short) {
+    EmptyHosts empty;
+    for (const auto& [name, pool] : context_.configuration->pools) {
+      empty[name] = FindEmptyHosts(name);
+    }
+    // Headroom of one pool is worth less than the present demand of another.
+    MoveHostsToPools(&PoolDemand::needed_hosts, demands, empty);
+    MoveHostsToPools(&PoolDemand::required_hosts, demands, empty);
+  }
   for (auto& [name, demand] : demands) MoveHostsToSparePool(name, demand);
 }
 
@@ -130,32 +142,53 @@
        {"available_hosts", std::to_string(static_cast<int>(available_hosts))}});
 }
 
-void HostPlanner::MoveHostsToPool(const std::string& name, PoolDemand& demand,
-                                  std::map<std::string, PoolDemand>& demands) {
-  if (demand.available_hosts >= demand.required_hosts) return;
-  std::vector<std::string> sources;
-  for (const auto& [pool, spec] : context_.configuration->pools) {
-    if (spec.spare) sources.insert(sources.begin(), pool);
-    if (!spec.spare && pool != name && !IsSaturatedPool(pool)) {
-      sources.push_back(pool);
-    }
+void HostPlanner::MoveHostsToPools(double PoolDemand::*level,
+                                   std::map<std::string, PoolDemand>& demands,
+                                   EmptyHosts& empty) {
+  std::map<std::string, PoolDemand*> short_pools;
+  for (auto& [name, demand] : demands) {
+    if (demand.available_hosts < demand.*level) short_pools[name] = &demand;
   }
-  for (const std::string& pool : sources) {
-    for (HostView* host : FindEmptyHosts(pool)) {
-      if (demand.available_hosts >= demand.required_hosts) return;
-      auto source = demands.find(pool);
-      if (source != demands.end()) {
-        if (source->second.available_hosts - 1 <
-            source->second.required_hosts) {
-          break;
-        }
-        --source->second.available_hosts;
-      }
-      ReserveForMove(*host, name, demand.required_hosts,
-                     demand.available_hosts);
-      ++demand.available_hosts;
+  const auto has_smaller_part = [level](const auto& a, const auto& b) {
+    return a.second->available_hosts / (a.second->*level) <
+           b.second->available_hosts / (b.second->*level);
+  };
+  while (!short_pools.empty()) {
+    auto it = std::min_element(short_pools.begin(), short_pools.end(),
+                               has_smaller_part);
+    const auto& [name, demand] = *it;
+    HostView* host = TakeEmptyHost(name, demands, empty);
+    if (host != nullptr) {
+      ReserveForMove(*host, name, demand->required_hosts,
+                     demand->available_hosts);
+      ++demand->available_hosts;
     }
+    const bool finished =
+        host == nullptr || demand->available_hosts >= demand->*level;
+    if (finished) short_pools.erase(it);
+  }
+}
+
+HostView* HostPlanner::TakeEmptyHost(const std::string& name,
+                                     std::map<std::string, PoolDemand>& demands,
+                                     EmptyHosts& empty) {
+  const auto take = [&empty](const std::string& pool) {
+    std::vector<HostView*>& hosts = empty[pool];
+    HostView* host = hosts.back();
+    hosts.pop_back();
+    return host;
+  };
+  for (const auto& [pool, hosts] : empty) {
+    if (IsSpare(pool) && !hosts.empty()) return take(pool);
+  }
+  for (auto& [pool, demand] : demands) {
+    const bool can_spare = pool != name && !IsSaturatedPool(pool) &&
+                           demand.available_hosts - 1 >= demand.required_hosts;
+    if (!can_spare || empty[pool].empty()) continue;
+    --demand.available_hosts;
+    return take(pool);
   }
+  return nullptr;
 }
 
 void HostPlanner::MoveHostsToSparePool(const std::string& name,
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -16,9 +16,13 @@
 /// Number of hosts that a pool has and needs; fractions are possible.
 struct PoolDemand {
   double available_hosts = 0;  ///< In service or being moved to the pool.
-  double required_hosts = 0;
+  double needed_hosts = 0;     ///< For the present demand.
+  double required_hosts = 0;   ///< Includes headroom.
 };
 
+/// Hosts that may be moved, by pool.
+using EmptyHosts = std::map<std::string, std::vector<HostView*>>;
+
 /// One planning round of the host manager: finishes host operations, plans
 /// maintenance waves and moves, and sends requests to hosts.
 class HostPlanner {
@@ -80,10 +84,16 @@
   }
   void ReserveForMove(HostView& host, const std::string& pool,
                       double required_hosts, double available_hosts);
-  /// Moves empty hosts of other pools, spare pools first, to a pool that has
-  /// too few.
-  void MoveHostsToPool(const std::string& name, PoolDemand& demand,
-                       std::map<std::string, PoolDemand>& demands);
+  /// Moves empty hosts to pools that have fewer than `level`, one at a time to
+  /// the pool that has the smallest part of it.
+  void MoveHostsToPools(double PoolDemand::*level,
+                        std::map<std::string, PoolDemand>& demands,
+                        EmptyHosts& empty);
+  /// Removes from `empty` and returns a host that another pool can spare for
+  /// pool `name`, from spare pools first; null if there is none.
+  HostView* TakeEmptyHost(const std::string& name,
+                          std::map<std::string, PoolDemand>& demands,
+                          EmptyHosts& empty);
   /// Moves empty hosts that a pool does not need to a spare pool.
   void MoveHostsToSparePool(const std::string& name, PoolDemand& demand);
   bool IsEmpty(const TargetView* target) const;
--- /dev/null
+++ b/Tests/Fleet/host_moves_test.cc
@@ -0,0 +1,100 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+#include "Model/text.h"
+#include "Policy/host_planner.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::seconds;
+
+/// CPU of a host, in thousandths of a core.
+constexpr std::int64_t kHostCpuMilli = 16'000;
+
+/// A fleet whose pools desk and yard have one host each, of 100 in all. Of the
+/// hosts of the spare pool, `up_hosts` are up.
+struct SmallPools {
+  Configuration configuration;
+  TimingSettings timing;
+  std::int64_t next_id = 1;
+  Effects out;
+  Owner owner;
+
+  explicit SmallPools(int up_hosts) {
+    for (const std::string pool : {"desk", "yard"}) {
+      configuration.pools[pool] = {.name = pool};
+      AddHost(pool, pool, HostState::kUp);
+      owner.targets[pool].entry = {.id = pool,
+                                   .pool = pool,
+                                   .host = pool,
+                                   .capacity = {.cpu_milli = kHostCpuMilli}};
+    }
+    configuration.pools["store"] = {.name = "store", .spare = true};
+    for (int n = 0; n < 98; ++n) {
+      AddHost(StrCat("m-", n), "store",
+              n < up_hosts ? HostState::kUp : HostState::kDown);
+    }
+  }
+
+  void AddHost(const std::string& name, const std::string& pool,
+               HostState state) {
+    owner.host_manager.hosts[name].host = {
+        .name = name, .pool = pool, .state = state};
+  }
+
+  /// The CPU that runs use in a pool, in hosts.
+  void SetDemand(const std::string& pool, std::int64_t hosts) {
+    owner.targets.at(pool).used.cpu_milli = hosts * kHostCpuMilli;
+  }
+
+  /// Number of hosts that one round moves, by destination.
+  std::map<std::string, int> PlanMoves() {
+    Context context{.time = {.now = Instant(seconds(90))},
+                    .timing = timing,
+                    .configuration = &configuration,
+                    .next_id = next_id,
+                    .out = out};
+    HostPlanner(owner, context).PlanRound();
+    std::map<std::string, int> moves;
+    for (const auto& [name, host] : owner.host_manager.hosts) {
+      if (host.operation == HostOperation::kMove) ++moves[host.destination];
+    }
+    return moves;
+  }
+};
+
+// Guards against tasks that wait for hosts which serve as the headroom of an
+// idle pool, because its name sorts before that of the pool in need.
+TEST_CASE("present demand gets spare hosts before headroom does") {
+  SmallPools fleet(5);
+  SECTION("the pool in need comes last by name") {
+    fleet.SetDemand("yard", 10);
+  }
+  SECTION("it comes first") { fleet.SetDemand("desk", 10); }
+  const std::map<std::string, int> moves = fleet.PlanMoves();
+  CHECK(moves.size() == 1);
+  CHECK(moves.begin()->second == 5);
+  CHECK(fleet.owner.targets.at(moves.begin()->first).used.cpu_milli > 0);
+}
+
+// Guards against a pool that gets all spare hosts because of its name.
+TEST_CASE("pools in equal need share the spare hosts") {
+  SmallPools fleet(10);
+  fleet.SetDemand("desk", 20);
+  fleet.SetDemand("yard", 20);
+  const std::map<std::string, int> expected = {{"desk", 5}, {"yard", 5}};
+  CHECK(fleet.PlanMoves() == expected);
+}
+
+TEST_CASE("headroom is filled once the present demand is met") {
+  SmallPools fleet(50);
+  fleet.SetDemand("yard", 10);
+  // 8 of the 100 hosts are headroom of each pool; a tenth is added to demand.
+  const std::map<std::string, int> expected = {{"desk", 7}, {"yard", 18}};
+  CHECK(fleet.PlanMoves() == expected);
+}
+
+}  // namespace
+}  // namespace hyssopbarrow::fleet
