Policy: Give watches of jobs and targets a second and more to be answered

Found in review: a watch was given up 0.7 s after its wait, and a shorter wait left it less time in all, 1.2 s where it had 1.7 s.

Followers now say how long after its wait a watch is given up: 1.2 s for jobs and targets, 0.7 s as before for the ownership, whose silence decides whether a host serves.

--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -28,7 +28,9 @@
 /// Follows a store table: reads it whole, then watches it for changes.
 struct TableFollower {
   Table table = Table::kConfiguration;
-  Duration watch_wait{};   ///< How long a watch waits for a change.
+  Duration watch_wait{};  ///< How long a watch waits for a change.
+  /// How long after its wait a watch without reply is given up.
+  Duration watch_margin = std::chrono::milliseconds(700);
   Duration watch_delay{};  ///< Gap between two watches, which batches changes.
   std::int64_t revision = 0;
   bool loaded = false;  ///< The whole table has been read.
@@ -127,15 +129,19 @@
                                        .watch_wait = std::chrono::seconds(2)};
   TableFollower ownership_follower{
       .table = Table::kOwner, .watch_wait = std::chrono::milliseconds(500)};
+  /// A host that is slow needs its time for the replies with many jobs.
   TableFollower jobs_follower{.table = Table::kJobs,
-                              .watch_wait = std::chrono::milliseconds(500)};
+                              .watch_wait = std::chrono::milliseconds(500),
+                              .watch_margin = std::chrono::milliseconds(1200)};
   TableFollower progress_follower{.table = Table::kProgress,
                                   .watch_wait = std::chrono::seconds(1)};
   /// Each target writes every 1.5 s. The watch delay batches the changes, which
   /// are known that much later.
-  TableFollower targets_follower{.table = Table::kTargets,
-                                 .watch_wait = std::chrono::milliseconds(250),
-                                 .watch_delay = std::chrono::milliseconds(250)};
+  TableFollower targets_follower{
+      .table = Table::kTargets,
+      .watch_wait = std::chrono::milliseconds(250),
+      .watch_margin = std::chrono::milliseconds(1200),
+      .watch_delay = std::chrono::milliseconds(250)};
   Ownership ownership;
   std::optional<Owner> owner;
   std::map<std::int64_t, PendingCall> calls;
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -42,6 +42,7 @@
   Table table = Table::kJobs;
   std::int64_t revision = 0;
   Duration wait{};
+  Duration timeout{};  ///< Includes `wait`.
 };
 
 /// A row in one of the tables that the entry hosts write.
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -80,6 +80,7 @@
   const auto restart = [](TableFollower& follower) {
     follower = TableFollower{.table = follower.table,
                              .watch_wait = follower.watch_wait,
+                             .watch_margin = follower.watch_margin,
                              .watch_delay = follower.watch_delay};
   };
   restart(entry.jobs_follower);
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -29,10 +29,12 @@
     const Duration wait =
         follower.caught_up ? follower.watch_wait : Duration::zero();
     follower.request_wait_end = context.time.now + wait;
-    context.out.emplace_back(WatchRows{.id = follower.pending_request,
-                                       .table = follower.table,
-                                       .revision = follower.revision,
-                                       .wait = wait});
+    context.out.emplace_back(
+        WatchRows{.id = follower.pending_request,
+                  .table = follower.table,
+                  .revision = follower.revision,
+                  .wait = wait,
+                  .timeout = wait + follower.watch_margin});
   } else {
     context.out.emplace_back(ReadRows{.id = follower.pending_request,
                                       .table = follower.table,
