Policy: Let ends of a failed commit wait for all jobs put back

Found in review: ends of a failed commit kept the position that their jobs had before. That is right only while all jobs of a failed commit go into the next one; with a smaller commit an end could be acknowledged before its job is stored. They now wait for every job that was put back. TakeFirst returns the id itself, as its only caller knows that there is one, and the comments say what the positions mean.

--- a/Source/Policy/changed_jobs.cc
+++ b/Source/Policy/changed_jobs.cc
@@ -19,8 +19,7 @@
   jobs_.emplace(position, id);
 }
 
-std::optional<std::string> ChangedJobs::TakeFirst() {
-  if (jobs_.empty()) return std::nullopt;
+std::string ChangedJobs::TakeFirst() {
   std::string id = std::move(jobs_.begin()->second);
   jobs_.erase(jobs_.begin());
   positions_.erase(id);
--- a/Source/Policy/changed_jobs.h
+++ b/Source/Policy/changed_jobs.h
@@ -4,14 +4,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace hyssopbarrow::fleet {
 
-/// Ids of jobs whose progress rows are out of date, in the order of their first
-/// change that is not stored.
+/// Ids of jobs whose progress rows are out of date, in the order in which they
+/// are to be stored.
 class ChangedJobs {
  public:
   bool empty() const { return jobs_.empty(); }
@@ -23,11 +22,11 @@
   /// Puts a job before all others, because a commit of its row has failed.
   void PutFirst(const std::string& id);
 
-  /// Removes and returns the first job; empty if there is none.
-  std::optional<std::string> TakeFirst();
+  /// Removes and returns the first job. There must be one.
+  std::string TakeFirst();
 
-  /// Position of the first job. All changes made while EndPosition was at most
-  /// this have been taken.
+  /// Position of the first job; EndPosition if there is none. All jobs before
+  /// it have been taken.
   std::int64_t FirstPosition() const;
 
   /// Position of the next job that is added.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -77,8 +77,8 @@
   }
 }
 
-/// Removes and returns the ends whose effect is stored with the jobs that have
-/// been taken from Owner::changed_jobs.
+/// Removes and returns the ends whose effect will be stored with the jobs that
+/// have been taken from Owner::changed_jobs.
 std::deque<UnstoredEnd> TakeCoveredEnds(Owner& owner) {
   const std::int64_t taken = owner.changed_jobs.FirstPosition();
   auto first_uncovered = std::find_if(
@@ -151,7 +151,11 @@
   }
 }
 
-void HandleCommitFailure(Owner& owner, const PendingCommit& pending) {
+void HandleCommitFailure(Owner& owner, PendingCommit pending) {
+  // The jobs that are put back may be stored in any order.
+  for (UnstoredEnd& end : pending.ends) {
+    end.changes_end = owner.changed_jobs.FirstPosition();
+  }
   for (const auto& [id, final] : pending.jobs) owner.changed_jobs.PutFirst(id);
   owner.unstored_ends.insert(owner.unstored_ends.begin(), pending.ends.begin(),
                              pending.ends.end());
@@ -172,7 +176,7 @@
   PendingCommit pending;
   CommitRows commit;
   while (!owner.changed_jobs.empty() && commit.writes.size() < kMaxCommitRows) {
-    auto it = owner.jobs.find(*owner.changed_jobs.TakeFirst());
+    auto it = owner.jobs.find(owner.changed_jobs.TakeFirst());
     if (it == owner.jobs.end()) continue;
     const auto& [id, job] = *it;
     commit.writes.emplace_back(RowRef{Table::kProgress, id}, ProgressRow(job));
