--- a/Tests/Fleet/table_age_test.cc
+++ b/Tests/Fleet/table_age_test.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <set>
 #include <string>
 
 #include "Fleet/fleet_simulation.h"
+#include "Policy/owner_commits.h"
+#include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -129,5 +131,88 @@
   CHECK_FALSE(may_start(0, 1401));
 }
 
+/// An owner of one target on which a run of a task is planned.
+struct PlannedRun {
+  Owner owner;
+  TimingSettings timing;
+  std::int64_t next_id = 1;
+  Effects out;
+  Instant now = Instant(seconds(90));
+  const TaskName task = {kWaitingJob, 0, 0, 0};
+
+  PlannedRun() {
+    owner.progress_loaded = owner.jobs_loaded = owner.ready = true;
+    owner.target_requests_allowed_until = now + seconds(1);
+    TargetView& target = owner.targets["i-1"];
+    target.entry = {.id = "i-1", .address = "10.0.0.1:80"};
+    target.synced = true;
+    target.clock_ms = 1;
+    target.next_poll = now + seconds(1);
+    Job& job = owner.jobs[kWaitingJob];
+    job.record = {
+        .id = kWaitingJob, .queue = "book", .spec = SimpleJob(1, false)};
+    job.open_occurrences.emplace(0, NewOccurrence(job.record.spec, now));
+    owner.active_jobs.insert(kWaitingJob);
+    AddRun(owner, target, job, task, 1, now);
+    MarkJobChanged(owner, job);
+    SetTableAges(milliseconds(0));
+  }
+
+  void SetTableAges(Duration age) {
+    owner.jobs_known_at = owner.targets_known_at = now - age;
+  }
+
+  TargetView& target() { return owner.targets.at("i-1"); }
+
+  Context MakeContext() {
+    return {
+        .time = {.now = now}, .timing = timing, .next_id = next_id, .out = out};
+  }
+
+  std::int64_t CountStarts() const {
+    return std::count_if(out.begin(), out.end(), [](const Effect& effect) {
+      const auto* request = std::get_if<TargetRequest>(&effect);
+      return request != nullptr && request->kind == TargetRequestKind::kStart;
+    });
+  }
+};
+
+// Guards against a start whose job was cancelled while its commit was on its
+// way.
+TEST_CASE("a stored start is sent only if the tables are still current") {
+  PlannedRun planned;
+  Context context = planned.MakeContext();
+  CommitChanges(planned.owner, context, false);
+  const std::int64_t commit = planned.owner.pending_commit->id;
+  const bool current = GENERATE(true, false);
+  planned.SetTableAges(current ? milliseconds(100) : milliseconds(2100));
+  HandleCommitReply(planned.owner, commit, {.status = StoreStatus::kOk},
+                    context);
+  CHECK(planned.CountStarts() == (current ? 1 : 0));
+  CHECK(planned.target().runs.size() == (current ? 1 : 0));
+}
+
+// Guards against an unanswered start that is repeated although its job may have
+// been cancelled since.
+TEST_CASE("a start is repeated only if the tables are still current") {
+  PlannedRun planned;
+  planned.target().runs.at(planned.task).phase = RunPhase::kStarting;
+  Context context = planned.MakeContext();
+  const bool current = GENERATE(true, false);
+  planned.SetTableAges(current ? milliseconds(100) : milliseconds(2100));
+  AdvanceTarget(planned.owner, planned.target(), context);
+  CHECK(planned.CountStarts() == (current ? 1 : 0));
+  CHECK(planned.target().runs.size() == 1);
+}
+
+// Guards against a count by a former owner, which another host has replaced.
+TEST_CASE("an owner without a lease counts no waiting jobs") {
+  PlannedRun planned;
+  const Instant lease_end = planned.owner.target_requests_allowed_until;
+  planned.owner.waiting_known_at = lease_end;
+  CHECK(CountWaitingJobs(planned.owner, "book", lease_end - milliseconds(1)));
+  CHECK_FALSE(CountWaitingJobs(planned.owner, "book", lease_end));
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
