--- a/Utilities/Benchmarks/relay_bench.cc
+++ b/Utilities/Benchmarks/relay_bench.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdio>
 #include <string>
+#include <vector>
 
 #include "Fleet/relay_codec.h"
 
@@ -17,6 +18,7 @@
 
 std::vector<TargetRequest> MakePolls() {
   std::vector<TargetRequest> polls;
+  polls.reserve(static_cast<std::size_t>(FLAGS_replies));
   for (int n = 0; n < FLAGS_replies; ++n) {
     polls.push_back({.id = 100'000 + n,
                      .target = "i-7fb53f2cdb",
