Tests: Restart and shrink targets of the virtual fleet

The virtual fleet knew targets that crash for good, but none that crash and come back under their id, none that a task crashes, and none whose capacity changes while they run.

A target's row replaces its capacity at once, and placement subtracts all runs, also stopping ones. Ruled out as too strict: a grace of 0.5 s, since the watch of the targets table may take longer than that.

--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -18,6 +18,8 @@
 constexpr std::int64_t kUnlistDelayUs = 4'500'000;
 constexpr std::int64_t kCallTimeoutUs = 3'000'000;
 constexpr std::int64_t kRelayLostUs = 1'000'000;
+/// How long starts may still exceed a capacity that has shrunk.
+constexpr std::int64_t kCapacityGraceUs = 3'000'000;
 constexpr std::int64_t kMaxAttempts = 2;
 constexpr char kHostName[] = "jobs.example";
 
@@ -138,6 +140,30 @@
                 [this, n] { targets_[ToIndex(n)].listed = false; });
 }
 
+void FleetSimulation::CrashAndRestartTarget(int n) {
+  SimulatedTarget& target = targets_[ToIndex(n)];
+  if (target.down) return;
+  for (const auto& [name, run] : target.tasks.runs) ++crashes_[name];
+  const Target entry = target.tasks.entry;
+  target = SimulatedTarget{};
+  target.tasks.entry = entry;
+  target.down = true;
+  target.restarting = true;
+  ScheduleAfter(crash_duration, [this, n] {
+    SimulatedTarget& restarted = targets_[ToIndex(n)];
+    restarted.tasks.entry.started_unix_ms = CurrentTime().unix_ms;
+    restarted.down = false;
+    restarted.restarting = false;
+  });
+}
+
+void FleetSimulation::SetCapacity(int n, Resources capacity) {
+  SimulatedTarget& target = targets_[ToIndex(n)];
+  const bool shrinks = !Fits(target.tasks.entry.capacity, capacity);
+  target.tasks.entry.capacity = capacity;
+  if (shrinks) target.capacity_binds_from_us = now_us_ + kCapacityGraceUs;
+}
+
 void FleetSimulation::AddWave(Wave wave) {
   waves_[wave.number] = std::move(wave);
 }
@@ -421,6 +447,10 @@
       [this, n, target, request, answer, lost, wait, carrier, carrier_instance,
        instance = entries_[ToIndex(n)].instance] {
         SimulatedTarget& target_state = targets_[ToIndex(target)];
+        if (target_state.restarting) {
+          DeliverEvent(n, answer({}), kRequestTimeoutUs);
+          return;
+        }
         if (target_state.down) return;
         TargetReply reply = ExecuteTargetRequest(target, request);
         const bool waits = request.kind == TargetRequestKind::kPoll &&
@@ -443,9 +473,18 @@
           return;
         }
         auto answered = std::make_shared<bool>(false);
-        const auto answer_poll = [this, target, request, send_reply, answered] {
+        const std::int64_t started = target_state.tasks.entry.started_unix_ms;
+        const auto answer_poll = [this, n, target, request, answer, send_reply,
+                                  answered, started] {
           if (*answered) return;
           *answered = true;
+          const SimulatedTarget& state = targets_[ToIndex(target)];
+          const bool crashed =
+              state.restarting || state.tasks.entry.started_unix_ms != started;
+          if (crashed) {
+            DeliverEvent(n, answer({}), kRequestTimeoutUs);
+            return;
+          }
           TargetRequest final_request = request;
           final_request.lease_until_ms.reset();
           send_reply(ExecuteTargetRequest(target, final_request));
@@ -544,6 +583,18 @@
       }
     }
   }
+  const SimulatedTarget& own_target = targets_[ToIndex(target)];
+  Resources used;
+  for (const auto& [running, run] : own_target.tasks.runs) {
+    auto it = specs_.find(running.job);
+    if (it == specs_.end()) continue;
+    used += it->second.steps[ToIndex(static_cast<int>(running.step))].resources;
+  }
+  const bool over_capacity = !Fits(used, own_target.tasks.entry.capacity) &&
+                             now_us_ >= own_target.capacity_binds_from_us;
+  if (over_capacity) {
+    AddViolation(StrCat(ToString(name), " exceeds the capacity of i-", target));
+  }
   if (failures_[name] >= kMaxAttempts && !step.long_running) {
     starts_after_max_attempts_.emplace_back(name, failed_runs_[name]);
   }
@@ -573,6 +624,16 @@
 void FleetSimulation::SimulateRun(int target, const TargetRequest& request) {
   CheckStart(target, request);
   ++starts_[request.task];
+  crashes_at_start_[request.task].push_back(CrashesUnder(request.task));
+  if (deadly_tasks.count(request.task) > 0) {
+    const std::int64_t started =
+        targets_[ToIndex(target)].tasks.entry.started_unix_ms;
+    ScheduleAfter(crash_delay, [this, target, started] {
+      const Target& entry = targets_[ToIndex(target)].tasks.entry;
+      if (entry.started_unix_ms == started) CrashAndRestartTarget(target);
+    });
+    return;
+  }
   auto spec = specs_.find(request.task.job);
   const bool long_running =
       spec != specs_.end() &&
@@ -699,6 +760,19 @@
   return it == starts_.end() ? 0 : it->second;
 }
 
+std::int64_t FleetSimulation::CrashesUnder(const TaskName& name) const {
+  auto it = crashes_.find(name);
+  return it == crashes_.end() ? 0 : it->second;
+}
+
+std::int64_t FleetSimulation::StartsAfterCrashes(const TaskName& name,
+                                                 std::int64_t crashes) const {
+  auto it = crashes_at_start_.find(name);
+  if (it == crashes_at_start_.end()) return 0;
+  return std::count_if(it->second.begin(), it->second.end(),
+                       [&](std::int64_t n) { return n >= crashes; });
+}
+
 std::int64_t FleetSimulation::FailuresOf(const std::string& id) const {
   std::int64_t most = 0;
   for (const auto& [name, n] : failures_) {
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -58,6 +58,11 @@
     entries_[ToIndex(n)].job_watches_stalled = stalled;
   }
   void CrashTarget(int n);  ///< Never replies again; unlisted after 4.5 s.
+  /// Crashes a target, which is back as another instance under the same id
+  /// after `crash_duration`.
+  void CrashAndRestartTarget(int n);
+  /// Changes the capacity of a target while it runs.
+  void SetCapacity(int n, Resources capacity);
   void SetStoreDown(bool down) { store_down_ = down; }
   void AddWave(Wave wave);
 
@@ -75,6 +80,11 @@
   /// The owner's answer to a query for the number of waiting jobs.
   OwnerReply QueryWaiting() const;
   std::int64_t StartsOf(const TaskName& name) const;
+  /// Targets that crashed while they ran the task.
+  std::int64_t CrashesUnder(const TaskName& name) const;
+  /// Starts of the task after `crashes` targets had crashed under it.
+  std::int64_t StartsAfterCrashes(const TaskName& name,
+                                  std::int64_t crashes) const;
   /// Highest number of failed runs among the tasks of a job.
   std::int64_t FailuresOf(const std::string& id) const;
   std::size_t accepted_count() const { return accepted_jobs_.size(); }
@@ -88,6 +98,10 @@
 
   FaultSettings faults;
   std::set<std::string> failing_jobs;  ///< Jobs whose tasks always fail.
+  /// Tasks that crash each target `crash_delay` after it starts them.
+  std::set<TaskName> deadly_tasks;
+  Duration crash_delay = std::chrono::milliseconds(20);
+  Duration crash_duration = std::chrono::milliseconds(3000);
   Duration task_duration = std::chrono::milliseconds(400);
   Duration stop_duration{};  ///< From a stop request to the end of the run.
   std::vector<std::string> violations;
@@ -110,7 +124,10 @@
     TaskTarget tasks;
     std::set<TaskName> stopping;
     bool down = false;
+    bool restarting = false;  ///< Down for a while after a crash.
     bool listed = true;
+    /// Starts before then may exceed a capacity that has shrunk.
+    std::int64_t capacity_binds_from_us = 0;
     /// Callbacks that answer polls which wait for an end.
     std::vector<std::function<void()>> waiting_polls;
   };
@@ -166,6 +183,9 @@
   std::map<std::int64_t, std::string> call_jobs_;  ///< Job ids by call number.
   std::int64_t next_call_ = 1;
   std::map<TaskName, std::int64_t> starts_;
+  std::map<TaskName, std::int64_t> crashes_;  ///< Of targets, by their tasks.
+  /// Number of crashes before each start of a task.
+  std::map<TaskName, std::vector<std::int64_t>> crashes_at_start_;
   std::map<TaskName, std::int64_t> failures_;
   std::map<TaskName, std::set<std::int64_t>> failed_runs_;
   std::map<TaskName, std::set<std::int64_t>> acknowledged_failures_;
