Policy: Repeat a start only while its target replies

A target that crashes comes back after some seconds, often under the same id. A start request that was on its way at the crash has no reply, so the owner repeated it every 0.15 s, whether the target answered polls or not. The first repetition that reached the new instance started the run there; its reply came from another instance, which made the owner drop the target's runs, this one too, and start the task elsewhere: two runs at a time (TWICE).

Requests name the target's id, not the instance, so the target cannot refuse.

Starts are now repeated only while the target answers polls. A process that crashes breaks the poll that waits, and a silent one misses it within 2.1 s; the poll that ends the silence tells the instance. Ruled out: keeping the run that the new instance confirms, because the reply may be lost as well.

--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -339,8 +339,11 @@
   std::vector<TaskName> due;
   for (const auto& [name, run] : target.runs) {
     const bool can_retry = !run.request_pending && run.retry_at <= now;
+    // A target that does not reply may come back as another instance, which
+    // would take a repeated start request as a new one.
     const bool unconfirmed =
-        (run.phase == RunPhase::kStarting && !run.confirmed_at) ||
+        (run.phase == RunPhase::kStarting && !run.confirmed_at &&
+         target.unanswered_polls == 0) ||
         (run.phase == RunPhase::kStopping && !run.stop_confirmed_at);
     if (can_retry && unconfirmed && target.clock_ms.has_value()) {
       due.push_back(name);
