--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -297,7 +297,7 @@
   std::set<std::string> targets_read;
   /// Targets with unknown runs, by the job of the runs.
   std::map<std::string, std::set<std::string>> unknown_run_targets;
-  std::deque<UnstoredEnd> unstored_ends;  ///< In the order of handling.
+  std::deque<UnstoredEnd> unstored_ends;      ///< In the order of handling.
   std::map<std::string, LostRuns> lost_runs;  ///< By target.
   /// Tasks with crashed runs (Task::crashed_runs) that are not done.
   std::set<TaskName> crash_suspects;
