Tests: Name the timeout of the watch that the client's tests send

They now send 0.7 s, which the client used by itself before; what they check is unchanged. The second one, a reply that stalls, had passed meanwhile for the wrong reason. Fails before: "a reply to a watch is not cut off while it keeps arriving" (status unavailable).

--- a/Tests/Platform/client_test.cc
+++ b/Tests/Platform/client_test.cc
@@ -88,7 +88,10 @@
   settings.store = store.BoundAddress();
   PlatformClient client(loop, settings);
   std::optional<fleet::StoreRows> reply;
-  client.Watch({.id = 1, .table = fleet::Table::kJobs, .revision = 5},
+  client.Watch({.id = 1,
+                .table = fleet::Table::kJobs,
+                .revision = 5,
+                .timeout = milliseconds(700)},
                [&](const fleet::StoreRows& rows) { reply = rows; });
   while (!reply.has_value()) loop.RunOnce(SteadyNow() + milliseconds(50));
   return *reply;
