Tests: Compare rows of operators after invalid requests, too

Both tests now take all other rows from the fixture; what an operator could have changed is compared as before.

--- a/Tests/Daemon/entry_host_fixture.h
+++ b/Tests/Daemon/entry_host_fixture.h
@@ -45,6 +45,14 @@
     RunUntil([&] { return daemon->node().configuration.snapshot.has_value(); });
   }
 
+  /// All rows but those of the ceilings, which the entry host writes by itself.
+  auto RowsOfOperators() {
+    auto rows = table.Read("");
+    std::erase_if(
+        rows, [](const auto& row) { return row.key.starts_with("rights/"); });
+    return rows;
+  }
+
   const Snapshot& AdoptedSnapshot() const {
     return *daemon->node().configuration.snapshot;
   }
