Policy: Find the hosts that may be moved once in a round

Found on reading the change again: since a round of planning looked for the empty hosts of each pool up to twice, each time in a walk over all hosts, once for pools that are short and once for the spare pool. One walk now sorts them by pool for both, and the flag that avoided the first is gone. Hosts that have been taken leave the list, so the second use sees what a new walk saw, in the same order.

--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -86,23 +86,18 @@
       ++demands[host.host.pool].available_hosts;
     }
   }
-  bool any_short = false;
   for (auto& [name, demand] : demands) {
     if (demand.required_hosts > demand.available_hosts) {
       host_manager_.last_saturated[name] = now();
-      any_short = true;
     }
   }
-  if (any_short) {
-    EmptyHosts empty;
-    for (const auto& [name, pool] : context_.configuration->pools) {
-      empty[name] = FindEmptyHosts(name);
-    }
-    // Headroom of one pool is worth less than the present demand of another.
-    MoveHostsToPools(&PoolDemand::needed_hosts, demands, empty);
-    MoveHostsToPools(&PoolDemand::required_hosts, demands, empty);
+  EmptyHosts empty = FindEmptyHosts();
+  // Headroom of one pool is worth less than the present demand of another.
+  MoveHostsToPools(&PoolDemand::needed_hosts, demands, empty);
+  MoveHostsToPools(&PoolDemand::required_hosts, demands, empty);
+  for (auto& [name, demand] : demands) {
+    MoveHostsToSparePool(name, demand, empty[name]);
   }
-  for (auto& [name, demand] : demands) MoveHostsToSparePool(name, demand);
 }
 
 bool HostPlanner::IsSaturatedPool(const std::string& pool) const {
@@ -111,18 +106,18 @@
          now() - it->second < kKeepHostsAfterShortage;
 }
 
-std::vector<HostView*> HostPlanner::FindEmptyHosts(const std::string& pool) {
-  std::vector<HostView*> empty;
+EmptyHosts HostPlanner::FindEmptyHosts() {
+  EmptyHosts empty;
   for (auto& [name, host] : host_manager_.hosts) {
-    const bool movable =
-        host.operation == HostOperation::kNone && host.host.pool == pool &&
-        host.host.state == HostState::kUp && !WaitsForMaintenance(host);
+    const bool movable = host.operation == HostOperation::kNone &&
+                         host.host.state == HostState::kUp &&
+                         !WaitsForMaintenance(host);
     if (!movable) continue;
     const TargetView* target = FindTargetOn(host);
     const bool idle = target == nullptr
-                          ? IsSpare(pool)
+                          ? IsSpare(host.host.pool)
                           : IsEmpty(target) && !target->entry.draining;
-    if (idle) empty.push_back(&host);
+    if (idle) empty[host.host.pool].push_back(&host);
   }
   return empty;
 }
@@ -192,14 +187,15 @@
 }
 
 void HostPlanner::MoveHostsToSparePool(const std::string& name,
-                                       PoolDemand& demand) {
+                                       PoolDemand& demand,
+                                       const std::vector<HostView*>& empty) {
   if (IsSaturatedPool(name)) return;
   std::string spare;
   for (const auto& [pool, spec] : context_.configuration->pools) {
     if (spec.spare) spare = pool;
   }
   if (spare.empty()) return;
-  for (HostView* host : FindEmptyHosts(name)) {
+  for (HostView* host : empty) {
     if (demand.available_hosts - 1 < demand.required_hosts) return;
     --demand.available_hosts;
     ReserveForMove(*host, spare, demand.required_hosts, demand.available_hosts);
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -76,8 +76,8 @@
   /// True if the pool was short of hosts less than kKeepHostsAfterShortage
   /// ago.
   bool IsSaturatedPool(const std::string& pool) const;
-  /// Hosts of `pool` that run nothing and are not needed for maintenance.
-  std::vector<HostView*> FindEmptyHosts(const std::string& pool);
+  /// Hosts that run nothing and are not needed for maintenance.
+  EmptyHosts FindEmptyHosts();
   /// True if a wave that is not completed still has to maintain the host.
   bool WaitsForMaintenance(const HostView& host) const {
     return hosts_to_maintain_.count(host.host.name) > 0;
@@ -94,8 +94,9 @@
   HostView* TakeEmptyHost(const std::string& name,
                           std::map<std::string, PoolDemand>& demands,
                           EmptyHosts& empty);
-  /// Moves empty hosts that a pool does not need to a spare pool.
-  void MoveHostsToSparePool(const std::string& name, PoolDemand& demand);
+  /// Moves the hosts in `empty` that a pool does not need to a spare pool.
+  void MoveHostsToSparePool(const std::string& name, PoolDemand& demand,
+                            const std::vector<HostView*>& empty);
   bool IsEmpty(const TargetView* target) const;
   /// Evicts tasks from a reserved host, and sends the move or maintenance
   /// request once the host is empty.
