Policy: Look up the job of a run only at its first report

Found on reading the change again: looks up the job of every reported run in every poll reply, on the hottest path of an owner, though only the first report of a run can tell that it has begun: runs that a start reply or an adoption confirmed have told it already. A run whose start is not confirmed, or that was restored from the store and not reported, is looked up as before.

--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -45,9 +45,12 @@
   }
   Run& run = it->second;
   if (reported.run != run.number) return;
-  run.unreported = false;
   // The earlier owner that stored the run may not have started it.
-  if (Job* job = FindJob(owner, reported.task.job)) job->has_run = true;
+  const bool first_report = run.unreported || !run.confirmed_at;
+  if (first_report) {
+    if (Job* job = FindJob(owner, reported.task.job)) job->has_run = true;
+  }
+  run.unreported = false;
   if (!run.confirmed_at) run.confirmed_at = context.time.now;
   if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
   run.speed_percent = reported.speed_percent;
