--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -229,6 +229,12 @@
   owner.next_round = owner.next_full_round;
 }
 
+/// True while the jobs and targets tables are recent enough to start tasks.
+bool AreTablesCurrent(const Owner& owner, Instant now) {
+  return now - owner.jobs_known_at <= kMaxJobsAgeForStarts &&
+         now - owner.targets_known_at <= kMaxTargetsAgeForStarts;
+}
+
 bool MayPlaceTasks(const Owner& owner, Instant now) {
   return owner.placement_due && owner.ready &&
          MaySendTargetRequests(owner, now) &&
@@ -259,11 +265,6 @@
   return now < owner.target_requests_allowed_until && !owner.fenced;
 }
 
-bool AreTablesCurrent(const Owner& owner, Instant now) {
-  return now - owner.jobs_known_at <= kMaxJobsAgeForStarts &&
-         now - owner.targets_known_at <= kMaxTargetsAgeForStarts;
-}
-
 bool MayStartTasks(const Owner& owner, Instant now) {
   return MaySendTargetRequests(owner, now) && AreTablesCurrent(owner, now);
 }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -326,9 +326,9 @@
   std::vector<std::string> next_round_targets;
   Instant next_throttle_check{};
   bool placement_due = true;
-  /// Accepted jobs that have not started, by queue, as of the last sweep or
-  /// of the moment at which the owner was ready. Timed
-  /// jobs, which have `repeats` > 0, are not counted.
+  /// Accepted jobs that have not started, by queue, as of the last sweep or of
+  /// the moment at which the owner was ready. Timed jobs, which have `repeats`
+  /// > 0, are not counted.
   std::map<std::string, std::int64_t, std::less<>> waiting_jobs;
   Instant waiting_known_at{};    ///< `jobs_known_at` when they were counted.
   std::int64_t start_count = 0;  ///< Runs planned by this owner.
@@ -339,11 +339,8 @@
 /// True while the ownership lease allows requests to targets.
 bool MaySendTargetRequests(const Owner& owner, Instant now);
 
-/// True while the jobs and targets tables are known well enough to start tasks:
-/// recent cancels and drains have arrived.
-bool AreTablesCurrent(const Owner& owner, Instant now);
-
-/// True while the owner may send start requests.
+/// True while the owner may send start requests: the lease allows it, and the
+/// jobs and targets tables are recent enough to know cancels and drains.
 bool MayStartTasks(const Owner& owner, Instant now);
 
 /// Apply rows of the tables that the owner follows. `live` is false while the
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -178,10 +178,10 @@
   while (!owner.changed_jobs.empty() && commit.writes.size() < kMaxCommitRows) {
     auto it = owner.jobs.find(owner.changed_jobs.TakeFirst());
     if (it == owner.jobs.end()) continue;
-    const auto& [id, job] = *it;
+    auto& [id, job] = *it;
     commit.writes.emplace_back(RowRef{Table::kProgress, id}, ProgressRow(job));
     pending.jobs[id] = IsFinal(job.state);
-    CollectStarts(owner, it->second, pending);
+    CollectStarts(owner, job, pending);
   }
   pending.rows_left = owner.changed_jobs.size();
   pending.ends = TakeCoveredEnds(owner);
@@ -215,7 +215,7 @@
   if (!owner.pending_commit.has_value() || owner.pending_commit->id != id) {
     return false;
   }
-  const PendingCommit pending = *std::move(owner.pending_commit);
+  PendingCommit pending = *std::move(owner.pending_commit);
   owner.pending_commit.reset();
   if (reply.status == StoreStatus::kOk) {
     RecordCommit(owner.load, pending.jobs.size(), pending.rows_left,
@@ -229,7 +229,7 @@
     HandleCommitSuccess(owner, pending, context);
     return true;
   }
-  HandleCommitFailure(owner, pending);
+  HandleCommitFailure(owner, std::move(pending));
   const bool unanswered = reply.status == StoreStatus::kUnknown;
   if (unanswered) owner.commit_timeout *= 2;
   owner.next_commit =
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -59,14 +59,14 @@
                      Run& run, Context& context) {
   if (run.request_pending) return;
   run.retry_at = context.time.now + kRunRequestRetryDelay;
-  const bool starts = run.phase == RunPhase::kStarting && !run.confirmed_at;
+  const bool start_due = run.phase == RunPhase::kStarting && !run.confirmed_at;
   if (run.phase == RunPhase::kStopping && !run.stop_confirmed_at.has_value()) {
     run.request_pending = true;
     SendTargetRequest(
         owner, target,
         {.kind = TargetRequestKind::kStop, .task = name, .run = run.number},
         false, context);
-  } else if (starts && MayStartTasks(owner, context.time.now)) {
+  } else if (start_due && MayStartTasks(owner, context.time.now)) {
     SendStart(owner, target, name, context);
   }
 }
