Tests: Give tests of an owner one fixture

Found on reading the change again: five tests of this change each made the context of an owner's decisions, three made the same job, and two counted start requests; the fleet simulation's and the relays' tests had the same context before. OwnerFixture and ContextFixture serve them all. Two comments lose a figure of speech.

--- a/Tests/Fleet/commit_order_test.cc
+++ b/Tests/Fleet/commit_order_test.cc
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
 #include "Policy/owner_commits.h"
 #include "Policy/owner_runs.h"
 
@@ -17,28 +17,13 @@
 const std::string kLastId = "ffffffffffffffff";
 
 /// An owner without configuration, whose commits the test answers.
-struct CommittingOwner {
-  Owner owner;
-  TimingSettings timing;
-  std::int64_t next_id = 1;
-  Effects out;
-  Instant now = Instant(seconds(90));
-
+struct CommittingOwner : OwnerFixture {
   CommittingOwner() {
     owner.progress_loaded = owner.jobs_loaded = true;
     owner.target_requests_allowed_until = now + seconds(10);
   }
 
-  Context MakeContext() {
-    return {
-        .time = {.now = now}, .timing = timing, .next_id = next_id, .out = out};
-  }
-
-  void Change(const std::string& id) {
-    Job& job = owner.jobs[id];
-    job.record = {.id = id, .spec = SimpleJob(1, false)};
-    MarkJobChanged(owner, job);
-  }
+  void Change(const std::string& id) { MarkJobChanged(owner, AddJob(id)); }
 
   /// Changes jobs whose ids sort before kLastId.
   void ChangeMany() {
@@ -109,11 +94,7 @@
   CommittingOwner committing;
   TargetView& target = committing.owner.targets["i-1"];
   target.entry = {.id = "i-1", .address = "10.0.0.1:80", .started_unix_ms = 7};
-  Job& job = committing.owner.jobs[kLastId];
-  job.record = {.id = kLastId, .spec = SimpleJob(1, false)};
-  job.open_occurrences.emplace(0,
-                               NewOccurrence(job.record.spec, committing.now));
-  committing.owner.active_jobs.insert(kLastId);
+  committing.AddJob(kLastId);
   return committing;
 }
 
--- a/Tests/Fleet/fleet_crash_test.cc
+++ b/Tests/Fleet/fleet_crash_test.cc
@@ -1,9 +1,9 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
-#include <variant>
 
 #include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
 #include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
@@ -209,15 +209,14 @@
 }
 
 /// Number of start requests that AdvanceTarget sends for an unanswered start.
-std::size_t CountRepeatedStarts(std::int64_t unanswered_polls) {
-  const Instant now{seconds(90)};
-  Owner owner;
+std::int64_t CountRepeatedStarts(std::int64_t unanswered_polls) {
+  OwnerFixture fixture;
+  Owner& owner = fixture.owner;
+  const Instant now = fixture.now;
   owner.jobs_loaded = true;
   owner.jobs_known_at = owner.targets_known_at = now;
   owner.target_requests_allowed_until = now + seconds(9);
-  Job& job = owner.jobs[JobId(1)];
-  job.record = {.id = JobId(1), .spec = SimpleJob(1, false)};
-  job.open_occurrences[0] = NewOccurrence(job.record.spec, {});
+  Job& job = fixture.AddJob(JobId(1));
   TargetView& target = owner.targets["i-1"];
   target.entry = {.id = "i-1", .address = "10.0.0.1:80"};
   target.synced = true;
@@ -228,19 +227,9 @@
   Run& run = AddRun(owner, target, job, FirstTask(1), 1, now);
   run.phase = RunPhase::kStarting;
   run.start_outcome_unknown = true;
-  std::int64_t next_id = 1;
-  const TimingSettings timing;
-  Effects out;
-  Context context{.time = {.now = now, .unix_ms = 90'000},
-                  .timing = timing,
-                  .next_id = next_id,
-                  .out = out};
+  Context context = fixture.MakeContext();
   AdvanceTarget(owner, target, context);
-  return static_cast<std::size_t>(
-      std::count_if(out.begin(), out.end(), [](const Effect& effect) {
-        const auto* request = std::get_if<TargetRequest>(&effect);
-        return request != nullptr && request->kind == TargetRequestKind::kStart;
-      }));
+  return fixture.CountStarts();
 }
 
 // Virtual fleet 320, TWICE: a start without a reply was repeated until the
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "Fleet/owner_fixture.h"
 #include "Model/text.h"
 #include "Policy/host_manager.h"
 #include "Policy/owner_runs.h"
@@ -21,21 +22,6 @@
   return std::string(16 - digits.size(), '0') + digits;
 }
 
-/// Context for tests of an owner without a fleet simulation.
-struct ContextFixture {
-  TimingSettings timing;
-  std::int64_t next_id = 1;
-  Effects out;
-
-  /// `now` and `unix_ms` are both 90 s.
-  Context MakeContext() {
-    return {.time = {.now = Instant(seconds(90)), .unix_ms = 90'000},
-            .timing = timing,
-            .next_id = next_id,
-            .out = out};
-  }
-};
-
 void ExpectNoViolation(const FleetSimulation& simulation) {
   CAPTURE(simulation.violations);
   CHECK(simulation.violations.empty());
--- a/Tests/Fleet/host_moves_test.cc
+++ b/Tests/Fleet/host_moves_test.cc
@@ -2,36 +2,31 @@
 #include <map>
 #include <string>
 
+#include "Fleet/owner_fixture.h"
 #include "Model/text.h"
 #include "Policy/host_planner.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
 
-using std::chrono::seconds;
-
 /// CPU of a host, in thousandths of a core.
 constexpr std::int64_t kHostCpuMilli = 16'000;
 
 /// A fleet whose pools desk and yard have one host each, of 100 in all. Of the
 /// hosts of the spare pool, `up_hosts` are up.
-struct SmallPools {
-  Configuration configuration;
-  TimingSettings timing;
-  std::int64_t next_id = 1;
-  Effects out;
-  Owner owner;
+struct SmallPools : OwnerFixture {
+  Configuration small_pools;
 
   explicit SmallPools(int up_hosts) {
     for (const std::string pool : {"desk", "yard"}) {
-      configuration.pools[pool] = {.name = pool};
+      small_pools.pools[pool] = {.name = pool};
       AddHost(pool, pool, HostState::kUp);
       owner.targets[pool].entry = {.id = pool,
                                    .pool = pool,
                                    .host = pool,
                                    .capacity = {.cpu_milli = kHostCpuMilli}};
     }
-    configuration.pools["store"] = {.name = "store", .spare = true};
+    small_pools.pools["store"] = {.name = "store", .spare = true};
     for (int n = 0; n < 98; ++n) {
       AddHost(StrCat("m-", n), "store",
               n < up_hosts ? HostState::kUp : HostState::kDown);
@@ -51,11 +46,8 @@
 
   /// Number of hosts that one round moves, by destination.
   std::map<std::string, int> PlanMoves() {
-    Context context{.time = {.now = Instant(seconds(90))},
-                    .timing = timing,
-                    .configuration = &configuration,
-                    .next_id = next_id,
-                    .out = out};
+    configuration = &small_pools;
+    Context context = MakeContext();
     HostPlanner(owner, context).PlanRound();
     std::map<std::string, int> moves;
     for (const auto& [name, host] : owner.host_manager.hosts) {
--- a/Tests/Fleet/relays_test.cc
+++ b/Tests/Fleet/relays_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
 #include "Model/text.h"
 #include "Policy/owner_runs.h"
 
@@ -19,8 +20,9 @@
 
 /// An owner of 40 targets in two data centres, on a host that can carry eight,
 /// beside five hosts that can carry 24 each.
-struct RelayFixture {
+struct RelayFixture : OwnerFixture {
   RelayFixture() {
+    now = Instant(seconds(100));
     for (int n = 0; n < 40; ++n) {
       TargetView& target = owner.targets[StrCat("i-", n)];
       target.entry.id = StrCat("i-", n);
@@ -35,11 +37,6 @@
     }
   }
 
-  Context MakeContext() {
-    return {
-        .time = {.now = now}, .timing = timing, .next_id = next_id, .out = out};
-  }
-
   void Assign() {
     Context context = MakeContext();
     AssignRelays(owner, candidates, self, context);
@@ -65,13 +62,8 @@
     return addresses;
   }
 
-  Owner owner;
   std::map<std::string, Candidate> candidates;
   Identity self{.node = "owner", .cpu_milli = 10, .link_mbps = 100};
-  TimingSettings timing;
-  Instant now = Instant(seconds(100));
-  std::int64_t next_id = 1;
-  Effects out;
 };
 
 TEST_CASE("an owner that can carry its fleet uses no relays") {
--- a/Tests/Fleet/table_age_test.cc
+++ b/Tests/Fleet/table_age_test.cc
@@ -1,8 +1,8 @@
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 
 #include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
 #include "Policy/owner_commits.h"
 #include "Policy/owner_runs.h"
 
@@ -51,7 +51,7 @@
   CHECK(simulation.violations.empty());
 }
 
-// Guards against counts of waiting jobs by an owner that has not heard of the
+// Guards against counts of waiting jobs by an owner that does not know the
 // jobs that were accepted for longer than callers are promised.
 TEST_CASE("an owner that does not hear of new jobs counts no waiting jobs") {
   FullFleet fleet(52);
@@ -115,7 +115,7 @@
   CHECK(simulation.QueryWaiting().answered);
 }
 
-// Guards against starts on targets that began to drain before the owner heard
+// Guards against starts on targets that began to drain before the owner knew
 // of it: a table of targets may be 1.4 s old, a table of jobs 2 s.
 TEST_CASE("starts need both tables, and the targets table more recent") {
   Owner owner;
@@ -132,12 +132,7 @@
 }
 
 /// An owner of one target on which a run of a task is planned.
-struct PlannedRun {
-  Owner owner;
-  TimingSettings timing;
-  std::int64_t next_id = 1;
-  Effects out;
-  Instant now = Instant(seconds(90));
+struct PlannedRun : OwnerFixture {
   const TaskName task = {kWaitingJob, 0, 0, 0};
 
   PlannedRun() {
@@ -148,11 +143,7 @@
     target.synced = true;
     target.clock_ms = 1;
     target.next_poll = now + seconds(1);
-    Job& job = owner.jobs[kWaitingJob];
-    job.record = {
-        .id = kWaitingJob, .queue = "book", .spec = SimpleJob(1, false)};
-    job.open_occurrences.emplace(0, NewOccurrence(job.record.spec, now));
-    owner.active_jobs.insert(kWaitingJob);
+    Job& job = AddJob(kWaitingJob);
     AddRun(owner, target, job, task, 1, now);
     MarkJobChanged(owner, job);
     SetTableAges(milliseconds(0));
@@ -163,18 +154,6 @@
   }
 
   TargetView& target() { return owner.targets.at("i-1"); }
-
-  Context MakeContext() {
-    return {
-        .time = {.now = now}, .timing = timing, .next_id = next_id, .out = out};
-  }
-
-  std::int64_t CountStarts() const {
-    return std::count_if(out.begin(), out.end(), [](const Effect& effect) {
-      const auto* request = std::get_if<TargetRequest>(&effect);
-      return request != nullptr && request->kind == TargetRequestKind::kStart;
-    });
-  }
 };
 
 // Guards against a start whose job was cancelled while its commit was on its
--- a/Tests/Fleet/waiting_count_test.cc
+++ b/Tests/Fleet/waiting_count_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
 #include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
@@ -41,29 +42,24 @@
 // Guards against jobs that stay counted although a target has run them, because
 // the reply to their start was lost or the owner has changed since.
 TEST_CASE("a job does not wait once a target reports its run or its end") {
-  const Instant now(seconds(90));
   constexpr std::int64_t kPoll = 1000;
-  Owner owner;
+  OwnerFixture fixture;
+  Owner& owner = fixture.owner;
   TargetView& target = owner.targets["i-1"];
   target.entry = {.id = "i-1", .address = "10.0.0.1:80"};
-  Job& job = owner.jobs[kWaitingJob];
-  job.record = {.id = kWaitingJob, .spec = SimpleJob(2, false)};
-  job.open_occurrences.emplace(0, NewOccurrence(job.record.spec, now));
+  Job& job = fixture.AddJob(kWaitingJob, 2);
   const TaskName task = {kWaitingJob, 0, 0, 0};
-  AddRun(owner, target, job, task, 1, now);
+  AddRun(owner, target, job, task, 1, fixture.now);
   CHECK_FALSE(job.has_run);
   TargetReply reply{.result = TargetResult::kDone, .clock_ms = 1};
   SECTION("run") { reply.runs.push_back({.task = task, .run = 1}); }
   SECTION("end") {
     reply.ends.push_back({.number = 1, .task = task, .run = 1});
   }
-  owner.pending_target_requests[kPoll] = {
-      .kind = TargetRequestKind::kPoll, .target = "i-1", .sent_at = now};
-  TimingSettings timing;
-  std::int64_t next_id = 1;
-  Effects out;
-  Context context{
-      .time = {.now = now}, .timing = timing, .next_id = next_id, .out = out};
+  owner.pending_target_requests[kPoll] = {.kind = TargetRequestKind::kPoll,
+                                          .target = "i-1",
+                                          .sent_at = fixture.now};
+  Context context = fixture.MakeContext();
   HandleTargetReply(owner, kPoll, reply, context);
   CHECK(job.has_run);
 }
