--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,90 +1,87 @@
-"""A worker that crashes again and again makes sound jobs end as `failed`."""
+"""One timed job whose occurrences overlap stops the whole fleet."""
 
 import os
 import sys
-import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import world  # noqa: E402
 
-PREFIX, KEY, SERVICE = "/puxa400/", "key-of-huts", "hut-desk"
-MAX_ATTEMPTS = 3
-WORKERS = 7             # One of them crashes: a share of 0.143.
-WORK_MS, CPU = 2000, 8000
-JOBS, INTERVAL_S = 500, 0.035
-CRASH_AFTER_S, DOWN_S = 0.2, 1.0
-FINISH_S = 14
+HUTS, TILL = "hut-desk", "till-house"
+PREFIX = {HUTS: "/puxa400/", TILL: "/kafi706/"}
+KEY = {"huts": "key-of-huts", "till": "key-of-till"}
+LARGE_JOB = "7d0512efbc021bcc"
+OCCURRENCES, INTERVAL_MS, TASKS, LARGE_WORK_MS = 10, 500, 300, 90_000
+SMALL_WORK_MS = 500
+FINISH_S = 14  # `finish_s`: how long after the traffic jobs are asked for.
+IDLE_S = 3     # How long a job may have nothing running.
 
 
-class CrashingWorker:
-    """Kills a worker shortly after a task has started on it, and starts it
-    again, until it is told to stop."""
-
-    def __init__(self, w, worker):
-        self.w, self.worker = w, worker
-        self.crashes = 0
-        self.stopping = False
-        self.thread = threading.Thread(target=self._run, daemon=True)
-        self.thread.start()
-
-    def _run(self):
-        seen = 0
-        while not self.stopping:
-            starts = [e for e in self.w.starts() if e["worker"] == self.worker]
-            if len(starts) == seen:
-                time.sleep(0.005)
-                continue
-            time.sleep(CRASH_AFTER_S)
-            self.w.crash_worker(self.worker)
-            self.crashes += 1
-            seen = len([e for e in self.w.starts()
-                        if e["worker"] == self.worker])
-            time.sleep(DOWN_S)
-            self.w.restart_worker(self.worker)
-
-    def stop(self):
-        self.stopping = True
-        self.thread.join()
+def route(name, service):
+    return {"Name": name, "Host": world.HOST, "PathPrefix": PREFIX[service],
+            "Kind": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 600,
+            "Priority": 0, "Service": service, "MaxAttempts": 3,
+            "SlackFactor": 1.6, "Public": False}
 
 
 def case(trouble):
+    unlimited = {"Cpu": 0, "MemMb": 0, "Gpu": 0}
     w = world.World(
-        HERE,
-        routes=[{"Name": "r-book", "Host": world.HOST, "PathPrefix": PREFIX,
-                 "Kind": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 600,
-                 "Priority": 0, "Service": SERVICE, "MaxAttempts": MAX_ATTEMPTS,
-                 "SlackFactor": 1.6, "Public": False}],
-        services=[{"Name": SERVICE, "RejectsOverload": True}],
-        tenants=[{"Name": "huts", "ApiKeys": [KEY], "Weight": 10,
-                  "UpperLimit": {"Cpu": 0, "MemMb": 0, "Gpu": 0}}])
-    try:
-        for n in range(WORKERS):
-            w.start_worker(f"i-{n + 1:010x}", SERVICE, n)
-        w.wait_ready()
-        crashing = CrashingWorker(w, "i-0000000001") if trouble else None
-        jobs = [f"{0x6000000000000000 + n:016x}" for n in range(JOBS)]
-        step = {"Count": 1, "Cpu": CPU, "MemMb": 500, "EstimateMs": WORK_MS}
-        work = {"ms": WORK_MS, "cpu": CPU, "mem": 500}
+        HERE, routes=[route("r-book", HUTS), route("r-pay", TILL)],
+        services=[{"Name": HUTS, "RejectsOverload": True},
+                  {"Name": TILL, "RejectsOverload": True}],
+        tenants=[{"Name": name, "ApiKeys": [key], "Weight": 10,
+                  "UpperLimit": unlimited} for name, key in KEY.items()])
+
+    def submit_small(first):
+        step = {"Count": 2, "Cpu": 2000, "MemMb": 500, "EstimateMs": SMALL_WORK_MS}
+        work = {"ms": SMALL_WORK_MS, "cpu": 2000, "mem": 500}
+        jobs = [f"{first + n:016x}" for n in range(4)]
         for job in jobs:
-            if w.submit(job, PREFIX, [(step, work)], KEY) != 200:
+            if w.submit(job, PREFIX[TILL], [(step, work)], KEY["till"]) != 200:
                 raise world.CannotRun("a job was not accepted")
-            time.sleep(INTERVAL_S)
-        if crashing:
-            crashing.stop()
+        return jobs
+
+    try:
+        for n in range(4):
+            w.start_worker(f"i-{n + 1:010x}", HUTS, n)
+        for n in range(4, 7):
+            w.start_worker(f"i-{n + 1:010x}", TILL, n)
+        w.wait_ready()
+        before = submit_small(0x1000000000000000)
+        if trouble:
+            step = {"Count": TASKS, "Cpu": 20, "MemMb": 10,
+                    "EstimateMs": LARGE_WORK_MS}
+            work = {"ms": LARGE_WORK_MS, "cpu": 20, "mem": 10}
+            timing = {"RepeatCount": OCCURRENCES, "IntervalMs": INTERVAL_MS,
+                      "StartMs": int(time.time() * 1000) + 1000}
+            if w.submit(LARGE_JOB, PREFIX[HUTS], [(step, work)], KEY["huts"],
+                        timing=timing) != 200:
+                raise world.CannotRun("the large job was not accepted")
+        time.sleep(12)
+        jobs = submit_small(0x2000000000000000)
+        accepted_at = time.monotonic()
         time.sleep(FINISH_S)
-        given_up = [job for job in jobs if w.state(job, PREFIX, KEY) == "failed"]
-        for job in given_up:
-            w.record(f"LOST: job {job} is shown as failed; its runs: " + ", ".join(
-                f"{run} on {worker} ended {how}" for task, run, worker, _, _, how
-                in w.runs() if task.startswith(job)))
-        without_cause = [job for job in given_up
-                         if len(w.ends(job, "failed")) < MAX_ATTEMPTS]
-        print(f"{len(without_cause)} of {len(jobs)} jobs shown as failed, though "
-              f"none of their runs ended so; "
-              f"{crashing.crashes if crashing else 0} crashes of one worker")
-        return world.BROKEN if without_cause else world.HELD
+        waiting = []
+        for job in before + jobs:
+            state = w.state(job, PREFIX[TILL], KEY["till"])
+            if not w.starts(job):
+                waiting.append(job)
+                w.record(f"LOST: job {job} is {state}; no task of it was started "
+                         f"in the {time.monotonic() - accepted_at:.1f} s since it "
+                         "was accepted, with all workers of its service idle")
+        if set(waiting) & set(before):
+            raise world.CannotRun("a job of before the large one did not run")
+        time.sleep(IDLE_S)
+        waiting = [job for job in waiting if not w.starts(job)]
+        w.record(f"store: refused {dict(w.platform.refused)}, largest value "
+                 f"{w.platform.largest_value} bytes")
+        w.record(f"starts of the large job: {len(w.starts(LARGE_JOB))} of "
+                 f"{OCCURRENCES * TASKS}")
+        print(f"{len(waiting)} of {len(jobs)} accepted jobs with nothing running; "
+              f"the store refused {dict(w.platform.refused)}")
+        return world.BROKEN if waiting else world.HELD
     finally:
         w.close()
 
--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -17,6 +17,7 @@
 MAX_CALL_BYTES = 1_000_000
 ROW_BYTES = 65_536
 MAX_ROWS = 500
+MAX_ADVICE_WORKERS = 100
 TRANSACTION_S = 0.003
 ANSWER_S = 0.001
 SILENT_HEARTBEATS = 3
@@ -41,9 +42,13 @@
 class Platform:
     """The store, and the machines as `/machines` lists them."""
 
-    def __init__(self, address, inner_address, cloud_address, heartbeat_ms=1500):
+    def __init__(self, address, inner_address, cloud_address, advice_address,
+                 heartbeat_ms=1500):
         self.address, self.inner_address = address, inner_address
-        self.cloud_address = cloud_address
+        self.cloud_address, self.advice_address = cloud_address, advice_address
+        self.allowed_workers = None  # By the policy of queues with advice.
+        self.advice_timing = {"DecideMs": 20, "EachMs": 1, "ValidMs": 3000}
+        self.advised = asyncio.Lock()
         self.heartbeat_s = heartbeat_ms / 1000
         self.rows = {}  # (table, part, key): Row
         self.changes = collections.defaultdict(dict)  # Table: version: row's key
@@ -72,7 +77,8 @@
         for address, handler in (
                 (self.address, lambda r: self._handle(r, False)),
                 (self.inner_address, lambda r: self._handle(r, True)),
-                (self.cloud_address, self._handle_cloud)):
+                (self.cloud_address, self._handle_cloud),
+                (self.advice_address, self._handle_advice)):
             host, port = address.split(":")
             await wire.serve(host, int(port), handler)
         self.loop.create_task(self._expire_entries())
@@ -217,6 +223,21 @@
         # The tests have no spare pool and no waves, and need no moves.
         return 409, {"Reason": "busy"}
 
+    async def _handle_advice(self, request):
+        body = request.json()
+        if request.path != "/advise" or body is None:
+            return 404, {}
+        named = body["Workers"]
+        if len(named) > MAX_ADVICE_WORKERS:
+            return 400, {}
+        timing = self.advice_timing
+        async with self.advised:  # One call of a machine at a time.
+            await asyncio.sleep((timing["DecideMs"]
+                                 + timing["EachMs"] * len(named)) / 1000)
+        good = [[worker, f"ticket-{worker}"] for worker in named
+                if worker in self.allowed_workers]
+        return 200, {"Good": good, "ValidMs": timing["ValidMs"]}
+
     def put(self, table, key, value):
         """Writes a row as an operator or as another writer of the table."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -40,7 +40,8 @@
         self.sequence = 0
 
     def clock(self):
-        return CLOCK_START_MS + int((time.monotonic() - self.started) * 1000)
+        elapsed_ms = (time.monotonic() - self.started) * 1000
+        return CLOCK_START_MS + int(elapsed_ms * self.options.clock_rate)
 
     def log(self, what, **fields):
         print(json.dumps({"at": time.monotonic(), "worker": self.options.id,
@@ -117,6 +118,8 @@
                 and self.used("mem") + needs.get("mem", 0) <= self.options.mem)
         if not fits:
             return refuse("room")
+        if needs.get("ticket") and body.get("Ticket") != f"ticket-{self.options.id}":
+            return refuse("ticket")
         how = "failed" if needs.get("fails") else "done"
         timer = asyncio.get_running_loop().call_later(
             needs["ms"] / 1000, self.end, task, how)
@@ -207,6 +210,7 @@
         parser.add_argument("--" + name, required=True)
     parser.add_argument("--address", help="if it is reached by a proxy")
     parser.add_argument("--kind", default="a")
+    parser.add_argument("--clock_rate", type=float, default=1.0)
     parser.add_argument("--cpu", type=int, default=64_000)
     parser.add_argument("--mem", type=int, default=256_000)
     parser.add_argument("--stop_ms", type=int, default=100)
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -88,7 +88,7 @@
                        "MoveS": 1.5, "UpkeepS": 2, "LeaseMs": 3000,
                        "status_s": 120, "ContactMs": 3000, **(bounds or {})}
         self.platform = Platform(*(f"{self.ip}:{free_port(self.ip)}"
-                                   for _ in range(3)))
+                                   for _ in range(4)))
         self.platform.start()
         self.platform.put("op", "config",
                           {"Version": 1, "Routes": routes, "Services": services,
@@ -125,6 +125,7 @@
 Discovery = "platform"
 HeartbeatMs = 1500
 Orders = "invocation"
+Advice = "{self.platform.advice_address}"
 [Zones]
 namche = "khumbu"
 lukla = "khumbu"
