--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,9 +12,9 @@
 
 PREFIX, KEY, SERVICE = "/puxa400/", "key-of-huts", "hut-desk"
 WORKERS = 7         # One of them is killed at a time: a share of 0.143.
-WORK_MS, STOP_MS = 600, 500
-JOBS, INTERVAL_S = 50, 1.0
-CRASHES, CRASH_INTERVAL_S = 30, 1.6
+WORK_MS, STOP_MS = 500, 500
+JOBS, INTERVAL_S = 70, 0.85
+CRASHES, CRASH_INTERVAL_S = 45, 1.3
 FINISH_S = 14
 
 
