--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,5 @@
 #!/bin/bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")" && exec python3 case.py
