Policy: Log the instance of a target and the age of its last reply

A task that ran twice could not be explained from the logs: runs were logged as lost without the instance that they were started in and without the age of what the owner knew of the target. start_planned and runs_lost name both, and a reply from another instance is an event of its own.

--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -224,6 +224,10 @@
 /// continues.
 void HandleNewInstance(Owner& owner, TargetView& target,
                        std::int64_t started_unix_ms, Context& context) {
+  Log(context, Severity::kInfo, "target_instance_changed",
+      {{"target", target.entry.id},
+       {"born", std::to_string(started_unix_ms)},
+       {"born_before", std::to_string(target.entry.started_unix_ms)}});
   HandleTargetCrash(owner, target, "another instance of the target replied",
                     context);
   target.entry.started_unix_ms = started_unix_ms;
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -193,6 +193,9 @@
     Log(context, Severity::kWarn, "runs_lost",
         {{"target", target.entry.id},
          {"reason", std::string(reason)},
+         {"born", std::to_string(target.entry.started_unix_ms)},
+         {"reply_age_ms", std::to_string(Milliseconds(context.time.now -
+                                                      target.last_reply_at))},
          {"runs", std::to_string(target.runs.size())},
          {"first_task", ToString(target.runs.begin()->first)}});
   }
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -11,6 +11,7 @@
 namespace hyssopbarrow::fleet {
 namespace {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 /// Each pending request uses its own connection, and targets accept 64
@@ -351,6 +352,11 @@
         {{"task", ToString(name)},
          {"run", std::to_string(number)},
          {"target", target.entry.id},
+         {"born", std::to_string(target.entry.started_unix_ms)},
+         {"reply_age_ms",
+          std::to_string(
+              duration_cast<milliseconds>(now() - target.last_reply_at)
+                  .count())},
          {"free_cpu_milli", std::to_string(chosen.free.cpu_milli)}});
   }
 
