Tests: Let simulated targets restart and be cut off as real ones do

All targets shared one clock that never began anew; each reply named the target's instance; a lease was never shortened; the row of a target was the target itself; and the timer of a run could end a run of the same number in a later life.

Now each target has a clock that begins anew at each start and may be slow, only polls name the instance, a lease is shortened to 10 s, and the row is apart from the target: it may arrive late (entry_delay), be that of another writer, or lapse and return. A target can be restarted quickly and cut off one way or both ways; a cut target without an open connection gets nothing sent. A new check follows the rule on starts after a run has ended as done whose end is acknowledged later, unless the lease lapsed in between.

--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -18,6 +18,10 @@
 constexpr std::int64_t kUnlistDelayUs = 4'500'000;
 constexpr std::int64_t kCallTimeoutUs = 3'000'000;
 constexpr std::int64_t kRelayLostUs = 1'000'000;
+/// Connections without a request for so long are closed.
+constexpr std::int64_t kIdleConnectionUs = 5'000'000;
+/// Longest lease that targets accept.
+constexpr std::int64_t kMaxLeaseMs = 10'000;
 /// How long starts may still exceed a capacity that has shrunk.
 constexpr std::int64_t kCapacityGraceUs = 3'000'000;
 constexpr std::int64_t kMaxAttempts = 2;
@@ -62,6 +66,7 @@
         .started_unix_ms = kUnixBaseMs,
         .capacity = {.cpu_milli = 16000, .memory_mb = 100'000},
         .labels = {"a", StrCat("r", n / 2)}};
+    target.row = target.tasks.entry;
     targets_.push_back(std::move(target));
   }
   entries_.resize(ToIndex(entries));
@@ -73,8 +78,44 @@
           .unix_ms = kUnixBaseMs + NowMs()};
 }
 
-std::int64_t FleetSimulation::TargetClockMs() const {
-  return kTargetClockBaseMs + NowMs();
+std::int64_t FleetSimulation::TargetClockMs(int target) const {
+  const SimulatedTarget& state = targets_[ToIndex(target)];
+  const auto age_us = static_cast<double>(now_us_ - state.started_us);
+  return kTargetClockBaseMs +
+         static_cast<std::int64_t>(age_us * state.clock_rate / 1000);
+}
+
+TargetCut FleetSimulation::CutOf(int target) const {
+  const SimulatedTarget& state = targets_[ToIndex(target)];
+  return now_us_ < state.cut_until_us ? state.cut : TargetCut::kNone;
+}
+
+void FleetSimulation::CutOffTarget(int n, TargetCut cut, Duration duration) {
+  SimulatedTarget& target = targets_[ToIndex(n)];
+  target.cut = cut;
+  target.cut_until_us = now_us_ + duration.count();
+}
+
+void FleetSimulation::StartTarget(int target, Target entry) {
+  SimulatedTarget& state = targets_[ToIndex(target)];
+  SimulatedTarget started;
+  started.tasks.entry = std::move(entry);
+  started.row = std::move(state.row);
+  started.cut = state.cut;
+  started.cut_until_us = state.cut_until_us;
+  started.life = state.life + 1;
+  started.started_us = now_us_;
+  started.clock_rate = state.clock_rate;
+  const std::int64_t life = started.life;
+  state = std::move(started);
+  const auto write_row = [this, target, life] {
+    if (targets_[ToIndex(target)].life == life) WriteRow(target);
+  };
+  if (entry_delay > Duration::zero()) {
+    ScheduleAfter(entry_delay, write_row);
+  } else {
+    write_row();
+  }
 }
 
 double FleetSimulation::Random() {
@@ -136,24 +177,24 @@
 void FleetSimulation::CrashTarget(int n) {
   targets_[ToIndex(n)].down = true;
   targets_[ToIndex(n)].tasks.runs.clear();
-  ScheduleAfter(Duration(kUnlistDelayUs),
-                [this, n] { targets_[ToIndex(n)].listed = false; });
+  ScheduleAfter(Duration(kUnlistDelayUs), [this, n] { RemoveRow(n); });
 }
 
 void FleetSimulation::CrashAndRestartTarget(int n) {
+  RestartTarget(n, crash_duration);
+}
+
+void FleetSimulation::RestartTarget(int n, Duration down) {
   SimulatedTarget& target = targets_[ToIndex(n)];
   if (target.down) return;
   for (const auto& [name, run] : target.tasks.runs) ++crashes_[name];
-  const Target entry = target.tasks.entry;
-  target = SimulatedTarget{};
-  target.tasks.entry = entry;
+  target.tasks.runs.clear();
   target.down = true;
   target.restarting = true;
-  ScheduleAfter(crash_duration, [this, n] {
-    SimulatedTarget& restarted = targets_[ToIndex(n)];
-    restarted.tasks.entry.started_unix_ms = CurrentTime().unix_ms;
-    restarted.down = false;
-    restarted.restarting = false;
+  ScheduleAfter(down, [this, n] {
+    Target entry = TargetEntry(n);
+    entry.started_unix_ms = CurrentTime().unix_ms;
+    StartTarget(n, std::move(entry));
   });
 }
 
@@ -161,6 +202,7 @@
   SimulatedTarget& target = targets_[ToIndex(n)];
   const bool shrinks = !Fits(target.tasks.entry.capacity, capacity);
   target.tasks.entry.capacity = capacity;
+  if (target.row.has_value()) target.row->capacity = capacity;
   if (shrinks) target.capacity_binds_from_us = now_us_ + kCapacityGraceUs;
 }
 
@@ -318,7 +360,7 @@
   }
   if (request.table == Table::kTargets) {
     for (const SimulatedTarget& target : targets_) {
-      if (target.listed) out.targets.push_back(target.tasks.entry);
+      if (target.row.has_value()) out.targets.push_back(*target.row);
     }
     return out;
   }
@@ -332,7 +374,8 @@
   if (read_whole) {
     StoreRows out = ReadTable({.table = request.table});
     for (const SimulatedTarget& target : targets_) {
-      const bool removed = request.table == Table::kTargets && !target.listed;
+      const bool removed =
+          request.table == Table::kTargets && !target.row.has_value();
       if (removed) out.removed_targets.push_back(target.tasks.entry.id);
     }
     return out;
@@ -425,8 +468,19 @@
   };
   const bool unreachable =
       found == targets_.end() || found->down ||
+      found->tasks.entry.address != request.address ||
+      CutOf(target) == TargetCut::kBothWays ||
       entries_[ToIndex(carrier)].disconnected_targets.count(target) > 0;
   const std::int64_t wait = request.wait.count();
+  const bool cut = found != targets_.end() && !found->down &&
+                   CutOf(target) == TargetCut::kBothWays;
+  const bool connected = cut && !request.fresh_connection &&
+                         now_us_ < found->last_request_us + kIdleConnectionUs;
+  if (cut && !connected) {
+    DeliverEvent(n, answer({.result = TargetResult::kNotSent}),
+                 kRequestTimeoutUs);
+    return;
+  }
   if (unreachable) {
     DeliverEvent(n, answer({}), kRequestTimeoutUs + wait);
     return;
@@ -447,7 +501,7 @@
       [this, n, target, request, answer, lost, wait, carrier, carrier_instance,
        instance = entries_[ToIndex(n)].instance] {
         SimulatedTarget& target_state = targets_[ToIndex(target)];
-        if (target_state.restarting) {
+        if (target_state.restarting || CutOf(target) == TargetCut::kBothWays) {
           DeliverEvent(n, answer({}), kRequestTimeoutUs);
           return;
         }
@@ -456,31 +510,31 @@
         const bool waits = request.kind == TargetRequestKind::kPoll &&
                            wait > 0 && reply.ends.empty() &&
                            reply.result == TargetResult::kDone;
-        const auto send_reply = [this, n, instance, answer, lost, request,
-                                 carrier, carrier_instance](
-                                    const TargetReply& sent_reply) {
-          const bool relay_lost =
-              carrier != n && !IsRelayUp(carrier, carrier_instance);
-          if (relay_lost) return DeliverRelayLost(n, request);
-          ScheduleAfter(Duration(lost ? kRequestTimeoutUs : RandomLatencyUs()),
-                        [this, n, instance, answer, lost, sent_reply] {
-                          RunEvent(n, instance,
-                                   answer(lost ? TargetReply{} : sent_reply));
-                        });
-        };
+        const auto send_reply =
+            [this, n, instance, answer, request, target, lost, carrier,
+             carrier_instance](const TargetReply& sent_reply) {
+              const bool reply_lost = lost || CutOf(target) != TargetCut::kNone;
+              const bool relay_lost =
+                  carrier != n && !IsRelayUp(carrier, carrier_instance);
+              if (relay_lost) return DeliverRelayLost(n, request);
+              ScheduleAfter(
+                  Duration(reply_lost ? kRequestTimeoutUs : RandomLatencyUs()),
+                  [this, n, instance, answer, reply_lost, sent_reply] {
+                    RunEvent(n, instance,
+                             answer(reply_lost ? TargetReply{} : sent_reply));
+                  });
+            };
         if (!waits) {
           send_reply(reply);
           return;
         }
         auto answered = std::make_shared<bool>(false);
-        const std::int64_t started = target_state.tasks.entry.started_unix_ms;
         const auto answer_poll = [this, n, target, request, answer, send_reply,
-                                  answered, started] {
+                                  answered, life = target_state.life] {
           if (*answered) return;
           *answered = true;
           const SimulatedTarget& state = targets_[ToIndex(target)];
-          const bool crashed =
-              state.restarting || state.tasks.entry.started_unix_ms != started;
+          const bool crashed = state.restarting || state.life != life;
           if (crashed) {
             DeliverEvent(n, answer({}), kRequestTimeoutUs);
             return;
@@ -495,9 +549,16 @@
 }
 
 TargetReply FleetSimulation::ExecuteTargetRequest(
-    int target, const TargetRequest& request) {
+    int target, const TargetRequest& sent_request) {
   SimulatedTarget& target_state = targets_[ToIndex(target)];
+  target_state.last_request_us = now_us_;
   ExpireLease(target);
+  const std::int64_t clock_ms = TargetClockMs(target);
+  TargetRequest request = sent_request;
+  if (request.lease_until_ms.has_value()) {
+    request.lease_until_ms =
+        std::min(*request.lease_until_ms, clock_ms + kMaxLeaseMs);
+  }
   const bool fenced = request.fencing_token < target_state.tasks.fencing_token;
   const bool known_run = target_state.tasks.runs.count(request.task) > 0;
   const bool is_poll = request.kind == TargetRequestKind::kPoll;
@@ -507,12 +568,16 @@
     StopRunLater(target, request);
     TargetRequest probe = request;
     probe.run = 0;
-    return fleet::HandleTargetRequest(target_state.tasks, probe,
-                                      TargetClockMs());
+    TargetReply probe_reply =
+        fleet::HandleTargetRequest(target_state.tasks, probe, clock_ms);
+    probe_reply.started_unix_ms = 0;
+    return probe_reply;
   }
   const std::int64_t next_end = target_state.tasks.next_end_number;
   TargetReply reply =
-      fleet::HandleTargetRequest(target_state.tasks, request, TargetClockMs());
+      fleet::HandleTargetRequest(target_state.tasks, request, clock_ms);
+  // Only lists of runs name the instance.
+  if (!is_poll) reply.started_unix_ms = 0;
   const bool started = request.kind == TargetRequestKind::kStart &&
                        !known_run && reply.result == TargetResult::kDone;
   if (started) SimulateRun(target, request);
@@ -530,8 +595,10 @@
     return;
   }
   CheckStop(request.task);
-  ScheduleAfter(stop_duration, [this, target, task = request.task, run] {
+  ScheduleAfter(stop_duration, [this, target, task = request.task, run,
+                                life = target_state.life] {
     SimulatedTarget& later = targets_[ToIndex(target)];
+    if (later.life != life) return;
     later.stopping.erase(task);
     if (EndRun(later.tasks, task, run, RunEndKind::kStopped)) {
       AnswerWaitingPolls(target);
@@ -546,6 +613,15 @@
     const bool acknowledged = end.number <= request.last_end_stored;
     if (acknowledged && end.kind == RunEndKind::kDone) {
       acknowledged_tasks_.insert(end.task);
+      auto again = done_runs_before_start_.find(end.task);
+      const bool started_again = again != done_runs_before_start_.end() &&
+                                 again->second.erase(end.run) > 0;
+      if (started_again && target_state.lapsed_ends.count(end.number) == 0) {
+        AddViolation(StrCat(ToString(end.task), " started after run ", end.run,
+                            " had ended as done on ",
+                            target_state.tasks.entry.id,
+                            ", which was acknowledged later"));
+      }
     }
     if (acknowledged && end.kind == RunEndKind::kFailed) {
       acknowledged_failures_[end.task].insert(end.run);
@@ -567,6 +643,8 @@
     AddViolation(
         StrCat(ToString(name), " started after its end was acknowledged"));
   }
+  auto done = done_runs_.find(name);
+  if (done != done_runs_.end()) done_runs_before_start_[name] = done->second;
   auto spec = specs_.find(name.job);
   if (spec == specs_.end()) {
     AddViolation(StrCat(ToString(name), " does not belong to a job"));
@@ -626,12 +704,12 @@
   ++starts_[request.task];
   crashes_at_start_[request.task].push_back(CrashesUnder(request.task));
   if (deadly_tasks.count(request.task) > 0) {
-    const std::int64_t started =
-        targets_[ToIndex(target)].tasks.entry.started_unix_ms;
-    ScheduleAfter(crash_delay, [this, target, started] {
-      const Target& entry = targets_[ToIndex(target)].tasks.entry;
-      if (entry.started_unix_ms == started) CrashAndRestartTarget(target);
-    });
+    ScheduleAfter(crash_delay,
+                  [this, target, life = targets_[ToIndex(target)].life] {
+                    if (targets_[ToIndex(target)].life == life) {
+                      CrashAndRestartTarget(target);
+                    }
+                  });
     return;
   }
   auto spec = specs_.find(request.task.job);
@@ -645,19 +723,24 @@
                               : RunEndKind::kDone;
   const auto duration_us = static_cast<std::int64_t>(
       static_cast<double>(task_duration.count()) * (0.5 + Random()));
-  ScheduleAfter(Duration(duration_us), [this, target, task = request.task,
-                                        run = request.run, kind] {
-    SimulatedTarget& target_state = targets_[ToIndex(target)];
-    if (target_state.down || !EndRun(target_state.tasks, task, run, kind)) {
-      return;
-    }
-    if (kind == RunEndKind::kDone) done_tasks_.insert(task);
-    if (kind == RunEndKind::kFailed) {
-      ++failures_[task];
-      failed_runs_[task].insert(run);
-    }
-    AnswerWaitingPolls(target);
-  });
+  ScheduleAfter(Duration(duration_us),
+                [this, target, task = request.task, run = request.run, kind,
+                 life = targets_[ToIndex(target)].life] {
+                  SimulatedTarget& target_state = targets_[ToIndex(target)];
+                  if (target_state.down || target_state.life != life ||
+                      !EndRun(target_state.tasks, task, run, kind)) {
+                    return;
+                  }
+                  if (kind == RunEndKind::kDone) {
+                    done_tasks_.insert(task);
+                    done_runs_[task].insert(run);
+                  }
+                  if (kind == RunEndKind::kFailed) {
+                    ++failures_[task];
+                    failed_runs_[task].insert(run);
+                  }
+                  AnswerWaitingPolls(target);
+                });
 }
 
 void FleetSimulation::AnswerWaitingPolls(int target) {
@@ -669,7 +752,10 @@
 void FleetSimulation::ExpireLease(int target) {
   SimulatedTarget& target_state = targets_[ToIndex(target)];
   const std::int64_t last_end = target_state.tasks.next_end_number - 1;
-  if (!EndRunsIfLeaseExpired(target_state.tasks, TargetClockMs())) return;
+  if (!EndRunsIfLeaseExpired(target_state.tasks, TargetClockMs(target))) return;
+  for (const RunEnd& end : target_state.tasks.ends) {
+    target_state.lapsed_ends.insert(end.number);
+  }
   if (target_state.tasks.next_end_number - 1 != last_end) {
     AnswerWaitingPolls(target);
   }
@@ -755,6 +841,15 @@
                           CurrentTime().now);
 }
 
+int FleetSimulation::TargetOf(const TaskName& name) const {
+  const auto found = std::find_if(
+      targets_.begin(), targets_.end(), [&](const SimulatedTarget& target) {
+        return !target.down && target.tasks.runs.count(name) > 0;
+      });
+  return found == targets_.end() ? -1
+                                 : static_cast<int>(found - targets_.begin());
+}
+
 std::int64_t FleetSimulation::StartsOf(const TaskName& name) const {
   auto it = starts_.find(name);
   return it == starts_.end() ? 0 : it->second;
@@ -820,11 +915,10 @@
     target_state.tasks.runs.clear();
     ScheduleAfter(milliseconds(2000), [this, n, wave = request.wave] {
       if (wave != 0) --hosts_in_maintenance_;
-      SimulatedTarget replacement;
-      replacement.tasks.entry = targets_[ToIndex(n)].tasks.entry;
-      replacement.tasks.entry.id += "+";
-      replacement.tasks.entry.started_unix_ms += 1000 + NowMs();
-      targets_[ToIndex(n)] = std::move(replacement);
+      Target replacement = TargetEntry(n);
+      replacement.id += "+";
+      replacement.started_unix_ms += 1000 + NowMs();
+      StartTarget(n, std::move(replacement));
     });
     return HostRequestResult::kDone;
   }
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -22,6 +23,13 @@
   double late_request_share = 0;  ///< No reply; takes effect 2 to 8 s later.
 };
 
+/// How a target is cut off from all entry hosts.
+enum class TargetCut {
+  kNone,
+  kReplies,   ///< Requests are executed; their replies are lost.
+  kBothWays,  ///< Requests and replies are lost.
+};
+
 /// Simulates entry hosts, a store, targets and callers in virtual time. All
 /// random choices follow from the seed. Checks the guarantees to targets and
 /// callers, for example that no task runs twice at a time, and adds a line to
@@ -61,6 +69,25 @@
   /// Crashes a target, which is back as another instance under the same id
   /// after `crash_duration`.
   void CrashAndRestartTarget(int n);
+  /// As CrashAndRestartTarget, but the target is back after `down`.
+  void RestartTarget(int n, Duration down);
+  /// Cuts a target off from all entry hosts for `duration`.
+  void CutOffTarget(int n, TargetCut cut, Duration duration);
+  /// Sets the speed of a target's clock; 1 is that of the entry hosts. To be
+  /// called before the first Run.
+  void SetClockRate(int n, double rate) {
+    targets_[ToIndex(n)].clock_rate = rate;
+  }
+  /// What a target says of itself.
+  const Target& TargetEntry(int n) const {
+    return targets_[ToIndex(n)].tasks.entry;
+  }
+  /// Replaces a target's row in the targets table by that of another writer.
+  void ReplaceRow(int n, const Target& row) { targets_[ToIndex(n)].row = row; }
+  /// Removes the row of a target, which continues to run.
+  void RemoveRow(int n) { targets_[ToIndex(n)].row.reset(); }
+  /// Writes the row of a target as the target itself does.
+  void WriteRow(int n) { targets_[ToIndex(n)].row = TargetEntry(n); }
   /// Changes the capacity of a target while it runs.
   void SetCapacity(int n, Resources capacity);
   void SetStoreDown(bool down) { store_down_ = down; }
@@ -79,6 +106,8 @@
   JobState StateOf(const std::string& id) const;
   /// The owner's answer to a query for the number of waiting jobs.
   OwnerReply QueryWaiting() const;
+  /// Index of a target that runs the task; -1 if none does.
+  int TargetOf(const TaskName& name) const;
   std::int64_t StartsOf(const TaskName& name) const;
   /// Targets that crashed while they ran the task.
   std::int64_t CrashesUnder(const TaskName& name) const;
@@ -102,6 +131,8 @@
   std::set<TaskName> deadly_tasks;
   Duration crash_delay = std::chrono::milliseconds(20);
   Duration crash_duration = std::chrono::milliseconds(3000);
+  /// From the start of a target until its row is in the targets table.
+  Duration entry_delay{};
   Duration task_duration = std::chrono::milliseconds(400);
   Duration stop_duration{};  ///< From a stop request to the end of the run.
   std::vector<std::string> violations;
@@ -125,7 +156,16 @@
     std::set<TaskName> stopping;
     bool down = false;
     bool restarting = false;  ///< Down for a while after a crash.
-    bool listed = true;
+    /// In the targets table; another writer may have put it there.
+    std::optional<Target> row;
+    TargetCut cut = TargetCut::kNone;
+    std::int64_t cut_until_us = 0;
+    std::int64_t last_request_us = 0;  ///< When it last got a request.
+    std::int64_t life = 0;             ///< Counts the starts of the target.
+    std::int64_t started_us = 0;
+    double clock_rate = 1;
+    /// Numbers of ends that were listed when the lease expired.
+    std::set<std::int64_t> lapsed_ends;
     /// Starts before then may exceed a capacity that has shrunk.
     std::int64_t capacity_binds_from_us = 0;
     /// Callbacks that answer polls which wait for an end.
@@ -134,7 +174,10 @@
 
   static std::size_t ToIndex(int n) { return static_cast<std::size_t>(n); }
   std::int64_t NowMs() const { return now_us_ / 1000; }
-  std::int64_t TargetClockMs() const;
+  std::int64_t TargetClockMs(int target) const;
+  /// Begins a new life of a target, with nothing of the one before.
+  void StartTarget(int target, Target entry);
+  TargetCut CutOf(int target) const;
   EventTime CurrentTime() const;
   double Random();
   std::int64_t RandomLatencyUs();
@@ -153,7 +196,8 @@
   bool IsRelayUp(int n, std::int64_t instance) const;
   /// Tells entry host `n` that the relay of a request is lost.
   void DeliverRelayLost(int n, const TargetRequest& request);
-  TargetReply ExecuteTargetRequest(int target, const TargetRequest& request);
+  TargetReply ExecuteTargetRequest(int target,
+                                   const TargetRequest& sent_request);
   /// Ends a run `stop_duration` after its stop request.
   void StopRunLater(int target, const TargetRequest& request);
   void RecordAcknowledgedEnds(int target, const TargetRequest& request);
@@ -192,6 +236,9 @@
   /// Tasks started after their last attempt, with the runs failed by then.
   std::vector<std::pair<TaskName, std::set<std::int64_t>>>
       starts_after_max_attempts_;
+  std::map<TaskName, std::set<std::int64_t>> done_runs_;
+  /// Runs that had ended as done when their task was started again.
+  std::map<TaskName, std::set<std::int64_t>> done_runs_before_start_;
   std::set<TaskName> done_tasks_;          ///< At least one run succeeded.
   std::set<TaskName> acknowledged_tasks_;  ///< The success was acknowledged.
   std::int64_t hosts_in_maintenance_ = 0;
