Policy: Bound a lease by the clock reading that it is counted from

Callers saw a task run twice: a target that had run nothing for a while got a task and was cut off, and the owner started the task elsewhere while the first run went on.

Leases end at a time on the target's clock, which the owner estimates from its last reading. The lease lasted longer by as much, but the owner allowed for the slow clock only from the time at which it sent the request.

The latest end of a lease now follows from the reading itself, whatever its age, and tasks are started only after a reading of the last 3 s: a target that has not replied for longer is polled first, and the task takes its resources in the next round. A poll of a target without runs grants no lease.

--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -17,6 +17,7 @@
 #include "Policy/changed_jobs.h"
 #include "Policy/fleet_effects.h"
 #include "Policy/job_table.h"
+#include "Policy/target_clock.h"
 
 namespace hyssopbarrow::fleet {
 
@@ -109,9 +110,10 @@
   std::int64_t last_end_stored = 0;  ///< Last end whose effect is stored.
   /// Last end whose acknowledgement the target has received.
   std::int64_t last_end_acknowledged = 0;
-  bool synced = false;                   ///< Has answered a poll of this owner.
-  std::optional<std::int64_t> clock_ms;  ///< The target's clock at `clock_at`.
-  Instant clock_at{};
+  bool synced = false;  ///< Has answered a poll of this owner.
+  /// A task waits until the target has answered a poll.
+  bool poll_wanted = false;
+  std::optional<ClockReading> clock;  ///< Latest reading of this instance.
   /// Latest lease end sent to the target, on the target's clock.
   std::int64_t lease_until_ms = 0;
   /// Latest time at which the last lease expires, which ends all runs.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -55,8 +55,11 @@
                        run->second.number == assignment.run &&
                        run->second.phase == RunPhase::kPlanned;
     if (!valid) continue;
-    const bool usable = MayStartTasks(owner, context.time.now) &&
-                        IsUsable(target->second, context.time.now);
+    const bool usable =
+        MayStartTasks(owner, context.time.now) &&
+        IsUsable(target->second, context.time.now) &&
+        HasRecentReading(target->second,
+                         context.time.now - kMaxStoreTimeOfStart);
     if (!usable) {
       Log(context, Severity::kWarn, "start_dropped",
           {{"task", ToString(name)},
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -170,7 +170,6 @@
       break;
     case TargetResult::kLeaseExpired:
       run.start_outcome_unknown = false;
-      target.clock_ms.reset();
       break;
     case TargetResult::kNoRoom:
       target.avoid_until = std::max(target.avoid_until, now + kAvoidFull);
@@ -235,7 +234,7 @@
   target.last_end_processed = target.last_end_stored =
       target.last_end_acknowledged = 0;
   target.synced = false;
-  target.clock_ms.reset();
+  target.clock.reset();
   target.lease_until_ms = 0;
   target.unknown_runs.clear();
   target.next_poll = context.time.now + kPollRetryDelay;
@@ -322,6 +321,7 @@
     return true;
   }
   const bool relay_lost = reply.result == TargetResult::kRelayLost;
+  const bool was_recent = HasRecentReading(target, now);
   const bool responsive = reply.result != TargetResult::kNoReply &&
                           reply.result != TargetResult::kNotSent && !relay_lost;
   if (relay_lost) {
@@ -339,8 +339,9 @@
   } else {
     if (is_poll) target.unanswered_polls = 0;
     if (reply.clock_ms > 0) {
-      target.clock_ms = reply.clock_ms;
-      target.clock_at = now;
+      target.clock = {.clock_ms = reply.clock_ms,
+                      .sent_at = request.sent_at,
+                      .received_at = now};
     }
   }
   if (reply.result == TargetResult::kFenced) {
@@ -366,6 +367,7 @@
   switch (request.kind) {
     case TargetRequestKind::kPoll:
       if (reply.result == TargetResult::kDone) {
+        if (!was_recent) owner.placement_due = true;
         HandlePollReply(owner, target, request, reply, context);
       } else if (responsive) {
         target.next_poll = now + kPollRetryDelay;
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -15,7 +15,8 @@
 /// Clocks of targets may run 2% slow, so that a lease lasts 1.02 times as long;
 /// the rest is a margin.
 constexpr double kLeaseClockFactor = 1.03;
-/// Longest time until a request with a lease reaches its target.
+/// Longest time until a request with a lease reaches its target, and until the
+/// target has ended its runs.
 constexpr Duration kLeaseDeliveryMargin = milliseconds(150);
 
 /// How long a poll waits for an end. A waiting poll costs a single check. Less
@@ -39,8 +40,9 @@
 void SendPoll(Owner& owner, TargetView& target, Context& context) {
   const bool unstored = target.last_end_processed > target.last_end_stored;
   const bool unresponsive = target.unanswered_polls > 0;
-  const bool wait =
-      target.synced && !unresponsive && !unstored && HasStartedRuns(target);
+  const bool wait = target.synced && !unresponsive && !unstored &&
+                    HasRecentReading(target, context.time.now) &&
+                    HasStartedRuns(target);
   TargetRequest request{.kind = TargetRequestKind::kPoll};
   request.last_end_stored = target.last_end_stored;
   const bool short_wait = target.next_throttle > context.time.now ||
@@ -49,7 +51,9 @@
       wait ? (short_wait ? kShortPollWait : kPollWait) : Duration::zero();
   // After an unanswered poll the lease is not extended until the target
   // replies. Otherwise the owner could never give up its runs.
-  const bool extend_lease = target.clock_ms.has_value() && !unresponsive;
+  const bool extend_lease =
+      target.clock.has_value() && !unresponsive && HasStartedRuns(target);
+  target.poll_wanted = false;
   SendTargetRequest(owner, target, std::move(request), extend_lease, context);
 }
 
@@ -86,6 +90,18 @@
   return unstored ? kUnstoredEndsPollInterval : Duration::zero();
 }
 
+bool HasRecentReading(const TargetView& target, Instant now) {
+  return target.clock.has_value() &&
+         now - target.clock->received_at <= kMaxReadingAge;
+}
+
+void RequestPoll(Owner& owner, TargetView& target, Context& context) {
+  target.poll_wanted = true;
+  target.next_poll = context.time.now;
+  AddToNextRound(owner, target);
+  ScheduleRound(owner, context.time.now);
+}
+
 bool HasStartedRuns(const TargetView& target) {
   return std::any_of(
       target.runs.begin(), target.runs.end(),
@@ -98,7 +114,7 @@
   return can_poll &&
          (HasStartedRuns(target) ||
           target.last_end_acknowledged < target.last_end_processed ||
-          !target.synced);
+          !target.synced || target.poll_wanted);
 }
 
 Duration TargetLease(const TimingSettings& settings) {
@@ -156,10 +172,11 @@
       target.synced) {
     return;
   }
+  const auto lease =
+      duration_cast<Duration>(TargetLease(context.timing) * kLeaseClockFactor);
   target.latest_lease_end =
       std::max(target.latest_lease_end, owner.owned_since + kStoreOutageGrace +
-                                            TargetLease(context.timing) +
-                                            kLeaseDeliveryMargin);
+                                            lease + kLeaseDeliveryMargin);
   Run& run = AddRun(owner, target, job, name, assignment.run, context.time.now);
   run.phase = RunPhase::kRunning;
   run.confirmed_at = owner.owned_since;
@@ -277,18 +294,14 @@
     // no request may extend the lease.
     request.lease_until_ms = target.lease_until_ms;
   } else if (extend_lease) {
-    const Instant now = context.time.now;
-    const Duration lease = TargetLease(context.timing);
-    const std::int64_t target_clock_ms =
-        *target.clock_ms + Milliseconds(now - target.clock_at);
-    request.lease_until_ms = target_clock_ms + Milliseconds(lease);
+    request.lease_until_ms = EstimateClock(*target.clock, context.time.now) +
+                             Milliseconds(TargetLease(context.timing));
     target.lease_until_ms =
         std::max(target.lease_until_ms, *request.lease_until_ms);
-    const auto lease_with_margin =
-        duration_cast<Duration>(lease * kLeaseClockFactor);
     target.latest_lease_end =
         std::max(target.latest_lease_end,
-                 now + lease_with_margin + kLeaseDeliveryMargin);
+                 LatestTimeBefore(*target.clock, *request.lease_until_ms) +
+                     kLeaseDeliveryMargin);
   }
   if (request.kind == TargetRequestKind::kPoll) {
     target.pending_poll = request.id;
@@ -354,7 +367,7 @@
         (run.phase == RunPhase::kStarting && !run.confirmed_at &&
          target.unanswered_polls == 0) ||
         (run.phase == RunPhase::kStopping && !run.stop_confirmed_at);
-    if (can_retry && unconfirmed && target.clock_ms.has_value()) {
+    if (can_retry && unconfirmed && target.clock.has_value()) {
       due.push_back(name);
     }
   }
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -228,7 +228,9 @@
         full = task.failed_targets.empty();
         continue;
       }
-      PlanRun(job, name, task, *target, NextRunNumber(task.last_run));
+      if (IsReadyToStart(*target, NeedOf(StepOf(job, name.step)))) {
+        PlanRun(job, name, task, *target, NextRunNumber(task.last_run));
+      }
     }
   }
 
@@ -252,6 +254,7 @@
       target = ChooseTarget(pool, job, name, task);
       if (target == nullptr) return;
     }
+    if (!IsReadyToStart(*target, NeedOf(step))) return;
     task.isolation_deadline.reset();
     PlanRun(job, name, task, *target, NextRunNumber(task.last_run));
     target->target->runs.at(name).isolated = isolated;
@@ -340,6 +343,16 @@
     return std::max(last, (owner_.epoch - 1) * kRunNumbersPerEpoch) + 1;
   }
 
+  /// Returns true if tasks can start on the target. Otherwise polls it and
+  /// keeps the resources that the task needs, for the round that follows the
+  /// reply.
+  bool IsReadyToStart(FreeTarget& chosen, const Resources& need) {
+    if (HasRecentReading(*chosen.target, now())) return true;
+    chosen.free -= need;
+    RequestPoll(owner_, *chosen.target, context_);
+    return false;
+  }
+
   void PlanRun(Job& job, const TaskName& name, Task& task, FreeTarget& chosen,
                std::int64_t number) {
     TargetView& target = *chosen.target;
@@ -353,10 +366,9 @@
          {"run", std::to_string(number)},
          {"target", target.entry.id},
          {"born", std::to_string(target.entry.started_unix_ms)},
-         {"reply_age_ms",
-          std::to_string(
-              duration_cast<milliseconds>(now() - target.last_reply_at)
-                  .count())},
+         {"reply_age_ms", std::to_string(duration_cast<milliseconds>(
+                                             now() - target.last_reply_at)
+                                             .count())},
          {"free_cpu_milli", std::to_string(chosen.free.cpu_milli)}});
   }
 
@@ -388,6 +400,11 @@
       targets = FindGangTargets(pool, spec, name, step.tasks.size(), {});
     }
     if (targets.empty()) return;
+    bool ready = true;
+    for (FreeTarget* target : targets) {
+      ready = IsReadyToStart(*target, NeedOf(spec)) && ready;
+    }
+    if (!ready) return;
     const std::int64_t number = NextRunNumber(last);
     for (std::size_t n = 0; n < targets.size(); ++n) {
       name.index = static_cast<std::int64_t>(n);
@@ -487,8 +504,7 @@
 bool IsUsable(const TargetView& target, Instant now) {
   return target.listed && !target.retired && target.synced &&
          !target.entry.draining && !target.reserved &&
-         target.unanswered_polls == 0 && target.avoid_until <= now &&
-         target.clock_ms.has_value();
+         target.unanswered_polls == 0 && target.avoid_until <= now;
 }
 
 void PlaceTasks(Owner& owner, Context& context) {
--- a/Tests/Fleet/fleet_crash_test.cc
+++ b/Tests/Fleet/fleet_crash_test.cc
@@ -220,8 +220,7 @@
   TargetView& target = owner.targets["i-1"];
   target.entry = {.id = "i-1", .address = "10.0.0.1:80"};
   target.synced = true;
-  target.clock_ms = 1;
-  target.clock_at = now;
+  target.clock = {.clock_ms = 1, .sent_at = now, .received_at = now};
   target.latest_lease_end = now + seconds(3);
   target.unanswered_polls = unanswered_polls;
   Run& run = AddRun(owner, target, job, FirstTask(1), 1, now);
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -494,7 +494,7 @@
     TargetView& target = owner.targets[id];
     target.entry = {.id = id, .pool = "desk", .host = StrCat("m-", n)};
     target.synced = true;
-    target.clock_ms = 1;
+    target.clock = {.clock_ms = 1, .sent_at = {}, .received_at = {}};
     Run& run = AddRun(owner, target, job, {JobId(1), 0, 0, n}, 1, {});
     run.phase = RunPhase::kRunning;
     run.speed_percent = 100;
@@ -630,7 +630,9 @@
                   .address = "10.0.0.1:80",
                   .capacity = {.cpu_milli = 16000, .memory_mb = 100'000}};
   target.synced = true;
-  target.clock_ms = 1;
+  target.clock = {.clock_ms = 1,
+                  .sent_at = Instant(seconds(10)),
+                  .received_at = Instant(seconds(10))};
   const JobRecord record{.id = JobId(1),
                          .queue = "book",
                          .pool = "desk",
--- a/Tests/Fleet/placement_test.cc
+++ b/Tests/Fleet/placement_test.cc
@@ -40,7 +40,7 @@
                       .capacity = {.cpu_milli = 4000, .memory_mb = 1000},
                       .labels = {n == 3 ? "b" : "a", StrCat("r", n / 2)}};
       target.synced = true;
-      target.clock_ms = 1;
+      target.clock = {.clock_ms = 1, .sent_at = kNow, .received_at = kNow};
     }
   }
 
--- a/Tests/Fleet/table_age_test.cc
+++ b/Tests/Fleet/table_age_test.cc
@@ -141,7 +141,7 @@
     TargetView& target = owner.targets["i-1"];
     target.entry = {.id = "i-1", .address = "10.0.0.1:80"};
     target.synced = true;
-    target.clock_ms = 1;
+    target.clock = {.clock_ms = 1, .sent_at = now, .received_at = now};
     target.next_poll = now + seconds(1);
     Job& job = AddJob(kWaitingJob);
     AddRun(owner, target, job, task, 1, now);
