Policy: Lose runs only when the target itself names another instance

What the owner knew of a target's instance could be old: a start could reach the next instance before its entry was known. When the entry arrived, or when a new owner compared it with the stored assignment, the run was taken as lost and started elsewhere. Polls repeated the last acknowledgement in the numbers of the earlier instance, so that the new one forgot ends that nobody had read. An entry without a start, or with any other, had the same effect on a target that ran on.

An entry or a reply that suggests another instance only raises a doubt; the next poll, whose reply names the instance, tells. Until then nothing is started or acknowledged. Replies without that name show the instance by their clock, which begins anew at a restart. In a new instance, runs that it reports go on, those that the earlier one had confirmed are lost, and those whose start got no reply are stopped first. Each end is acknowledged once. A refusal by another target counts only at the address that this instance has replied from. The longest lease that targets accept bounds runs whose instance is not known.

--- a/Source/Policy/crashes.cc
+++ b/Source/Policy/crashes.cc
@@ -125,8 +125,20 @@
 
 void HandleTargetCrash(Owner& owner, TargetView& target,
                        std::string_view reason, Context& context) {
-  const std::vector<CrashCause> causes = FindCauses(target);
-  DropAllRuns(owner, target, reason, context);
+  HandleTargetCrash(owner, target, reason, {}, {}, context);
+}
+
+void HandleTargetCrash(Owner& owner, TargetView& target,
+                       std::string_view reason,
+                       const std::set<TaskName>& present,
+                       const std::set<TaskName>& unanswered, Context& context) {
+  std::vector<CrashCause> causes = FindCauses(target);
+  std::erase_if(causes, [&](const CrashCause& cause) {
+    return present.count(cause.task) > 0;
+  });
+  std::set<TaskName> kept = present;
+  kept.insert(unanswered.begin(), unanswered.end());
+  DropRunsExcept(owner, target, kept, reason, context);
   if (!causes.empty()) {
     CountCrashes(owner, target.entry.id, causes, context);
   }
@@ -152,7 +164,7 @@
     const LostRuns& lost = it->second;
     const bool replaced =
         it->first == entry.id
-            ? lost.started_unix_ms != entry.started_unix_ms
+            ? lost.started_unix_ms < entry.started_unix_ms
             : !entry.host.empty() && lost.host == entry.host &&
                   lost.started_unix_ms < entry.started_unix_ms;
     if (!replaced) {
--- a/Source/Policy/crashes.h
+++ b/Source/Policy/crashes.h
@@ -1,7 +1,9 @@
 #ifndef HYSSOPBARROW_POLICY_CRASHES_H_
 #define HYSSOPBARROW_POLICY_CRASHES_H_
 
+#include <set>
 #include <string>
+#include <vector>
 
 #include "Policy/owner.h"
 
@@ -25,6 +27,13 @@
 void HandleTargetCrash(Owner& owner, TargetView& target,
                        std::string_view reason, Context& context);
 
+/// As above, but keeps the runs in `present`, which the new instance has or may
+/// have, and those in `unanswered`, which may also have caused the crash.
+void HandleTargetCrash(Owner& owner, TargetView& target,
+                       std::string_view reason,
+                       const std::set<TaskName>& present,
+                       const std::set<TaskName>& unanswered, Context& context);
+
 /// Drops all runs of an unresponsive target and remembers them in case that it
 /// has crashed.
 void GiveUpRuns(Owner& owner, TargetView& target, std::string_view reason,
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -11,6 +11,7 @@
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
 #include "Policy/store_keys.h"
+#include "Policy/target_instance.h"
 #include "Policy/throttling.h"
 
 namespace hyssopbarrow::fleet {
@@ -322,18 +323,21 @@
   for (const Target& entry : rows.targets) {
     auto [view, inserted] = owner.targets.try_emplace(entry.id);
     TargetView& target = view->second;
-    const bool restarted =
-        !inserted && target.entry.started_unix_ms != entry.started_unix_ms;
+    const std::int64_t instance = target.entry.started_unix_ms;
+    // An entry without a start may come from another writer.
+    const bool other_instance = !inserted && entry.started_unix_ms != 0 &&
+                                entry.started_unix_ms != instance;
+    // Entries arrive late and may be false, so runs are lost only when the
+    // target itself says so.
+    const bool replaced =
+        other_instance && (target.retired || target.runs.empty());
     // RestoreAssignment adds targets without an address.
     const bool known_by_assignment_only =
         !inserted && target.entry.address.empty();
     if (known_by_assignment_only) owner.placement_due = true;
-    if (inserted || restarted) {
-      HandleTargetCrash(owner, target, "the target restarted", context);
-      const std::int64_t pending_poll = target.pending_poll;
+    if (inserted || replaced) {
       const std::int64_t pending_requests = target.pending_requests;
       target = TargetView{};
-      target.pending_poll = pending_poll;
       target.pending_requests = pending_requests;
       target.latest_lease_end = context.time.now;
       owner.placement_due = true;
@@ -349,11 +353,21 @@
       owner.placement_due = true;
     }
     if (!owner.lost_runs.empty()) CountLostRuns(owner, entry, context);
+    const std::string address = target.entry.address;
     target.entry = entry;
     target.listed = true;
-    if (inserted || restarted || known_by_assignment_only) {
+    if (inserted || replaced) {
       AddToNextRound(owner, target);
+      continue;
+    }
+    target.entry.started_unix_ms = instance;
+    if (other_instance) {
+      DoubtInstance(owner, target, "its entry names another instance", context);
+    } else if (!target.address_replied.empty()) {
+      // An instance keeps its address.
+      target.entry.address = address;
     }
+    if (known_by_assignment_only) AddToNextRound(owner, target);
   }
   std::vector<std::string> removed = rows.removed_targets;
   if (whole) {
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -78,6 +78,12 @@
   std::optional<Instant> confirmed_at;
   /// Restored from the store and not reported by the target so far.
   bool unreported = false;
+  /// Stored as a run of an earlier instance than the one that is listed. The
+  /// target may have restarted before it was started.
+  bool stored_for_earlier_instance = false;
+  /// The present instance of the target has accepted or reported the run. A
+  /// start without a reply may reach the next instance.
+  bool instance_confirmed = false;
   /// A start request got no reply and may still take effect.
   bool start_outcome_unknown = false;
   /// When the target replied to the stop request.
@@ -111,6 +117,10 @@
   /// Last end whose acknowledgement the target has received.
   std::int64_t last_end_acknowledged = 0;
   bool synced = false;  ///< Has answered a poll of this owner.
+  /// A reply or an entry suggests that the target has restarted. Its next poll
+  /// tells; until then nothing is started or acknowledged.
+  bool instance_doubted = false;
+  std::string address_replied;  ///< Where this instance has answered a poll.
   /// A task waits until the target has answered a poll.
   bool poll_wanted = false;
   std::optional<ClockReading> clock;  ///< Latest reading of this instance.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -11,6 +11,7 @@
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
 #include "Policy/store_keys.h"
+#include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Model/text.h"
@@ -6,6 +7,8 @@
 #include "Policy/owner_ends.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
+#include "Policy/target_instance.h"
+#include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -51,6 +54,8 @@
     if (Job* job = FindJob(owner, reported.task.job)) job->has_run = true;
   }
   run.unreported = false;
+  run.stored_for_earlier_instance = false;
+  run.instance_confirmed = true;
   if (!run.confirmed_at) run.confirmed_at = context.time.now;
   if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
   run.speed_percent = reported.speed_percent;
@@ -77,7 +82,13 @@
   for (const TaskName& name : vanished) {
     Log(context, Severity::kWarn, "run_vanished",
         {{"task", ToString(name)}, {"target", target.entry.id}});
+    const Run& run = target.runs.at(name);
+    const std::int64_t number = run.number;
+    const bool crashed = run.stored_for_earlier_instance;
     DropRun(owner, target, name);
+    if (!crashed) continue;
+    CountCrashedAssignment(owner, name,
+                           {.target = target.entry.id, .run = number}, context);
   }
 }
 
@@ -101,8 +112,11 @@
          .number = end.number,
          .changes_end = owner.changed_jobs.EndPosition()});
   }
-  target.last_end_acknowledged =
-      std::max(target.last_end_acknowledged, request.last_end_stored);
+  // An acknowledgement in the numbers of an earlier instance counts for none.
+  if (request.started_unix_ms == target.entry.started_unix_ms) {
+    target.last_end_acknowledged =
+        std::max(target.last_end_acknowledged, request.last_end_stored);
+  }
   for (const ReportedRun& reported : reply.runs) {
     HandleReportedRun(owner, target, reported, context);
   }
@@ -134,9 +148,12 @@
   }
 }
 
+/// `same_instance` is true if the reply is certainly from the instance that is
+/// known.
 void HandleStartReply(Owner& owner, TargetView& target,
                       const PendingTargetRequest& request,
-                      const TargetReply& reply, Context& context) {
+                      const TargetReply& reply, bool same_instance,
+                      Context& context) {
   const TaskName& name = request.task;
   auto it = target.runs.find(name);
   if (it == target.runs.end() || it->second.number != request.run) return;
@@ -149,6 +166,7 @@
     case TargetResult::kDone:
       RecordStartReply(owner.load, now - request.sent_at);
       if (!run.confirmed_at) run.confirmed_at = now;
+      if (same_instance) run.instance_confirmed = true;
       if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
       if (job != nullptr) job->has_run = true;
       return;
@@ -168,9 +186,6 @@
         return;
       }
       break;
-    case TargetResult::kLeaseExpired:
-      run.start_outcome_unknown = false;
-      break;
     case TargetResult::kNoRoom:
       target.avoid_until = std::max(target.avoid_until, now + kAvoidFull);
       break;
@@ -183,6 +198,7 @@
     case TargetResult::kUnhealthy:
       target.avoid_until = std::max(target.avoid_until, now + kAvoidUnhealthy);
       break;
+    case TargetResult::kLeaseExpired:
     case TargetResult::kFenced:
     case TargetResult::kOtherInstance:
     case TargetResult::kNotSent:
@@ -219,25 +235,21 @@
   }
 }
 
-/// Handles a reply from another instance of the target, in which no earlier run
-/// continues.
-void HandleNewInstance(Owner& owner, TargetView& target,
-                       std::int64_t started_unix_ms, Context& context) {
-  Log(context, Severity::kInfo, "target_instance_changed",
+/// Handles a request to which the target did not reply.
+void HandleSilence(TargetView& target, TargetRequestKind kind,
+                   bool is_current_poll, const TargetReply& reply,
+                   Context& context) {
+  const Instant now = context.time.now;
+  target.avoid_until = std::max(target.avoid_until, now + kAvoidUnresponsive);
+  // Only unanswered polls mark a target as unresponsive.
+  if (!is_current_poll) return;
+  const bool was_responsive = target.unanswered_polls++ == 0;
+  target.next_poll = now + PollDelay(target);
+  if (!was_responsive) return;
+  Log(context, Severity::kWarn, "target_unresponsive",
       {{"target", target.entry.id},
-       {"born", std::to_string(started_unix_ms)},
-       {"born_before", std::to_string(target.entry.started_unix_ms)}});
-  HandleTargetCrash(owner, target, "another instance of the target replied",
-                    context);
-  target.entry.started_unix_ms = started_unix_ms;
-  CountLostRuns(owner, target.entry, context);
-  target.last_end_processed = target.last_end_stored =
-      target.last_end_acknowledged = 0;
-  target.synced = false;
-  target.clock.reset();
-  target.lease_until_ms = 0;
-  target.unknown_runs.clear();
-  target.next_poll = context.time.now + kPollRetryDelay;
+       {"request_kind", std::to_string(static_cast<int>(kind))},
+       {"result", std::string(ToString(reply.result))}});
 }
 
 }  // namespace
@@ -284,6 +296,7 @@
       MayContinue(*job, *task, StepOf(*job, reported.task.step));
   Run& run = AddRun(owner, target, *job, reported.task, reported.run, now);
   run.confirmed_at = now;
+  run.instance_confirmed = true;
   run.phase = RunPhase::kRunning;
   job->has_run = true;
   Log(context, Severity::kInfo, "run_adopted",
@@ -309,9 +322,9 @@
   AddToNextRound(owner, target);
   const Instant now = context.time.now;
   const bool is_poll = request.kind == TargetRequestKind::kPoll;
-  if (is_poll) {
-    if (target.pending_poll == id) target.pending_poll = 0;
-  } else {
+  const bool is_current_poll = is_poll && target.pending_poll == id;
+  if (is_current_poll) target.pending_poll = 0;
+  if (!is_poll) {
     --target.pending_requests;
     if (target.start_deferred) owner.placement_due = true;
     target.start_deferred = false;
@@ -321,48 +334,38 @@
     return true;
   }
   const bool relay_lost = reply.result == TargetResult::kRelayLost;
-  const bool was_recent = HasRecentReading(target, now);
-  const bool responsive = reply.result != TargetResult::kNoReply &&
-                          reply.result != TargetResult::kNotSent && !relay_lost;
+  // An entry may name an address that is not the target's.
+  const bool gone = reply.result == TargetResult::kOtherInstance &&
+                    target.entry.address == target.address_replied;
+  const bool responsive =
+      reply.result != TargetResult::kNoReply &&
+      reply.result != TargetResult::kNotSent && !relay_lost &&
+      (reply.result != TargetResult::kOtherInstance || gone);
   if (relay_lost) {
-    if (is_poll) target.next_poll = now;
+    if (is_current_poll) target.next_poll = now;
   } else if (!responsive) {
-    // Only unanswered polls mark a target as unresponsive.
-    if (is_poll && target.unanswered_polls++ == 0) {
-      Log(context, Severity::kWarn, "target_unresponsive",
-          {{"target", target.entry.id},
-           {"request_kind", std::to_string(static_cast<int>(request.kind))},
-           {"result", std::string(ToString(reply.result))}});
-    }
-    target.avoid_until = std::max(target.avoid_until, now + kAvoidUnresponsive);
-    if (is_poll) target.next_poll = now + kPollRetryDelay;
-  } else {
-    if (is_poll) target.unanswered_polls = 0;
-    if (reply.clock_ms > 0) {
-      target.clock = {.clock_ms = reply.clock_ms,
-                      .sent_at = request.sent_at,
-                      .received_at = now};
-    }
+    HandleSilence(target, request.kind, is_current_poll, reply, context);
+  } else if (is_poll) {
+    target.unanswered_polls = 0;
   }
   if (reply.result == TargetResult::kFenced) {
     owner.fenced = true;
     Log(context, Severity::kWarn, "fenced",
         {{"target", target.entry.id}, {"epoch", std::to_string(owner.epoch)}});
   }
-  const bool other_instance =
-      reply.result == TargetResult::kOtherInstance ||
-      (reply.started_unix_ms != 0 && target.entry.started_unix_ms != 0 &&
-       reply.started_unix_ms != target.entry.started_unix_ms);
-  if (other_instance) {
-    HandleNewInstance(owner, target,
-                      reply.started_unix_ms != 0 ? reply.started_unix_ms
-                                                 : target.entry.started_unix_ms,
-                      context);
+  if (gone) {
+    HandleTargetGone(owner, target, context);
     return true;
   }
+  const bool was_recent = HasRecentReading(target, now);
+  const bool same_instance =
+      UpdateInstance(owner, target, request, reply, is_current_poll, context);
   if (responsive) {
     target.last_reply_at = now;
-    owner.lost_runs.erase(target.entry.id);
+    if (!owner.lost_runs.empty()) {
+      CountLostRuns(owner, target.entry, context);
+      if (!target.instance_doubted) owner.lost_runs.erase(target.entry.id);
+    }
   }
   switch (request.kind) {
     case TargetRequestKind::kPoll:
@@ -374,7 +377,7 @@
       }
       break;
     case TargetRequestKind::kStart:
-      HandleStartReply(owner, target, request, reply, context);
+      HandleStartReply(owner, target, request, reply, same_instance, context);
       break;
     case TargetRequestKind::kStop:
       HandleStopReply(target, request, reply, context);
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -5,6 +5,7 @@
 
 #include "Policy/crashes.h"
 #include "Policy/relays.h"
+#include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -19,16 +20,8 @@
 /// target has ended its runs.
 constexpr Duration kLeaseDeliveryMargin = milliseconds(150);
 
-/// How long a poll waits for an end. A waiting poll costs a single check. Less
-/// than half a lease, so that one lost poll does not let the lease expire.
-constexpr Duration kPollWait = milliseconds(1400);
-/// Shorter wait while background tasks are throttled, which needs the load that
-/// polls report, or while a task that may crash the target has just started.
-constexpr Duration kShortPollWait = milliseconds(400);
 /// Replies take 3 ms under low load.
 constexpr Duration kTargetRequestTimeout = milliseconds(700);
-/// Between polls of a target that has ends whose effect is not stored yet.
-constexpr Duration kUnstoredEndsPollInterval = milliseconds(500);
 /// Delay before a start or stop request is sent again, unless its reply sets
 /// another delay.
 constexpr Duration kRunRequestRetryDelay = milliseconds(200);
@@ -37,26 +30,6 @@
   return duration_cast<milliseconds>(duration).count();
 }
 
-void SendPoll(Owner& owner, TargetView& target, Context& context) {
-  const bool unstored = target.last_end_processed > target.last_end_stored;
-  const bool unresponsive = target.unanswered_polls > 0;
-  const bool wait = target.synced && !unresponsive && !unstored &&
-                    HasRecentReading(target, context.time.now) &&
-                    HasStartedRuns(target);
-  TargetRequest request{.kind = TargetRequestKind::kPoll};
-  request.last_end_stored = target.last_end_stored;
-  const bool short_wait = target.next_throttle > context.time.now ||
-                          HasUndecidedIsolatedRun(owner, target);
-  request.wait =
-      wait ? (short_wait ? kShortPollWait : kPollWait) : Duration::zero();
-  // After an unanswered poll the lease is not extended until the target
-  // replies. Otherwise the owner could never give up its runs.
-  const bool extend_lease =
-      target.clock.has_value() && !unresponsive && HasStartedRuns(target);
-  target.poll_wanted = false;
-  SendTargetRequest(owner, target, std::move(request), extend_lease, context);
-}
-
 /// Sends the stop request of a stopping run or the start request of a starting
 /// run, unless the target has confirmed it or a request is pending.
 void SendStopOrStart(Owner& owner, TargetView& target, const TaskName& name,
@@ -84,43 +57,21 @@
                                 .fields = std::move(fields)});
 }
 
-Duration PollDelay(const TargetView& target) {
-  if (target.unanswered_polls > 0) return kPollRetryDelay;
-  const bool unstored = target.last_end_processed > target.last_end_stored;
-  return unstored ? kUnstoredEndsPollInterval : Duration::zero();
-}
-
-bool HasRecentReading(const TargetView& target, Instant now) {
-  return target.clock.has_value() &&
-         now - target.clock->received_at <= kMaxReadingAge;
-}
-
-void RequestPoll(Owner& owner, TargetView& target, Context& context) {
-  target.poll_wanted = true;
-  target.next_poll = context.time.now;
-  AddToNextRound(owner, target);
-  ScheduleRound(owner, context.time.now);
-}
-
 bool HasStartedRuns(const TargetView& target) {
   return std::any_of(
       target.runs.begin(), target.runs.end(),
       [](const auto& run) { return run.second.phase != RunPhase::kPlanned; });
 }
 
-bool NeedsPoll(const TargetView& target) {
-  const bool can_poll = !target.retired && target.pending_poll == 0 &&
-                        !target.entry.address.empty();
-  return can_poll &&
-         (HasStartedRuns(target) ||
-          target.last_end_acknowledged < target.last_end_processed ||
-          !target.synced || target.poll_wanted);
-}
-
 Duration TargetLease(const TimingSettings& settings) {
   return std::min(kTargetLease, settings.max_lease);
 }
 
+Instant LatestUnknownLeaseEnd(const TimingSettings& settings, Instant now) {
+  return now + duration_cast<Duration>(settings.max_lease * kLeaseClockFactor) +
+         kLeaseDeliveryMargin;
+}
+
 Job* FindJob(Owner& owner, const std::string& id) {
   auto it = owner.jobs.find(id);
   return it == owner.jobs.end() ? nullptr : &it->second;
@@ -164,23 +115,31 @@
     target.entry.pool = job.record.pool;
     target.listed = false;
   }
-  if (assignment.started_unix_ms < target.entry.started_unix_ms) {
-    CountCrashedAssignment(owner, name, assignment, context);
-    return;
-  }
-  if (target.entry.started_unix_ms != assignment.started_unix_ms ||
-      target.synced) {
+  const bool earlier_instance =
+      assignment.started_unix_ms < target.entry.started_unix_ms;
+  if (target.synced) {
+    // The target has reported its runs.
+    const bool lost = earlier_instance && target.unknown_runs.count(name) == 0;
+    if (lost) CountCrashedAssignment(owner, name, assignment, context);
     return;
   }
+  // The earlier owner may have learned of an instance before its entry arrives.
+  target.entry.started_unix_ms =
+      std::max(target.entry.started_unix_ms, assignment.started_unix_ms);
+  // The earlier owner may have gone on for this long, and may have started the
+  // run in an instance whose clock it did not know.
+  const Instant last_request_at = owner.owned_since + kStoreOutageGrace;
   const auto lease =
       duration_cast<Duration>(TargetLease(context.timing) * kLeaseClockFactor);
-  target.latest_lease_end =
-      std::max(target.latest_lease_end, owner.owned_since + kStoreOutageGrace +
-                                            lease + kLeaseDeliveryMargin);
+  target.latest_lease_end = std::max(
+      target.latest_lease_end,
+      earlier_instance ? LatestUnknownLeaseEnd(context.timing, last_request_at)
+                       : last_request_at + lease + kLeaseDeliveryMargin);
   Run& run = AddRun(owner, target, job, name, assignment.run, context.time.now);
   run.phase = RunPhase::kRunning;
   run.confirmed_at = owner.owned_since;
   run.unreported = true;
+  run.stored_for_earlier_instance = earlier_instance;
 }
 
 void DropRun(Owner& owner, TargetView& target, const TaskName& name) {
@@ -206,19 +165,27 @@
 
 void DropAllRuns(Owner& owner, TargetView& target, std::string_view reason,
                  Context& context) {
-  if (!target.runs.empty()) {
-    Log(context, Severity::kWarn, "runs_lost",
-        {{"target", target.entry.id},
-         {"reason", std::string(reason)},
-         {"born", std::to_string(target.entry.started_unix_ms)},
-         {"reply_age_ms", std::to_string(Milliseconds(context.time.now -
-                                                      target.last_reply_at))},
-         {"runs", std::to_string(target.runs.size())},
-         {"first_task", ToString(target.runs.begin()->first)}});
-  }
-  while (!target.runs.empty()) {
-    DropRun(owner, target, target.runs.begin()->first);
+  DropRunsExcept(owner, target, {}, reason, context);
+}
+
+void DropRunsExcept(Owner& owner, TargetView& target,
+                    const std::set<TaskName>& kept, std::string_view reason,
+                    Context& context) {
+  std::vector<TaskName> lost;
+  for (const auto& [name, run] : target.runs) {
+    if (kept.count(name) == 0) lost.push_back(name);
   }
+  if (lost.empty()) return;
+  Log(context, Severity::kWarn, "runs_lost",
+      {{"target", target.entry.id},
+       {"reason", std::string(reason)},
+       {"born", std::to_string(target.entry.started_unix_ms)},
+       {"reply_age_ms",
+        std::to_string(Milliseconds(context.time.now - target.last_reply_at))},
+       {"runs", std::to_string(lost.size())},
+       {"kept", std::to_string(target.runs.size() - lost.size())},
+       {"first_task", ToString(lost.front())}});
+  for (const TaskName& name : lost) DropRun(owner, target, name);
 }
 
 void StopRun(Owner& owner, TargetView& target, const TaskName& name,
@@ -365,7 +332,7 @@
     // would take a repeated start request as a new one.
     const bool unconfirmed =
         (run.phase == RunPhase::kStarting && !run.confirmed_at &&
-         target.unanswered_polls == 0) ||
+         target.unanswered_polls == 0 && !target.instance_doubted) ||
         (run.phase == RunPhase::kStopping && !run.stop_confirmed_at);
     if (can_retry && unconfirmed && target.clock.has_value()) {
       due.push_back(name);
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -1,6 +1,7 @@
 #ifndef HYSSOPBARROW_POLICY_OWNER_RUNS_H_
 #define HYSSOPBARROW_POLICY_OWNER_RUNS_H_
 
+#include <set>
 #include <string>
 
 #include "Policy/owner.h"
@@ -16,26 +17,9 @@
 /// gives up runs that it cannot see.
 constexpr Duration kStoreOutageGrace = std::chrono::milliseconds(6000);
 
-/// Delay before a target is polled again after a failed poll.
-constexpr Duration kPollRetryDelay = std::chrono::milliseconds(250);
-
-/// Starts need a reading of the target's clock of at most this age; older ones
-/// say little about a target that may have restarted since. Targets with runs
-/// answer a poll every 1.4 s at least.
-constexpr Duration kMaxReadingAge = std::chrono::milliseconds(3000);
-
-/// How much older the reading may be when the start is sent, once its
-/// assignment is stored.
-constexpr Duration kMaxStoreTimeOfStart = std::chrono::milliseconds(1000);
-
-/// True if what the owner knows of the target is recent enough to start tasks.
-bool HasRecentReading(const TargetView& target, Instant now);
-
-/// Polls a target without waiting for a run end, so that tasks can start there.
-void RequestPoll(Owner& owner, TargetView& target, Context& context);
-
-/// Delay before the next poll of a target.
-Duration PollDelay(const TargetView& target);
+/// Latest end of a lease that an instance with an unknown clock may have taken
+/// from a request sent until now. Targets shorten leases to the longest one.
+Instant LatestUnknownLeaseEnd(const TimingSettings& settings, Instant now);
 
 /// The lease to grant under these settings.
 Duration TargetLease(const TimingSettings& settings);
@@ -54,6 +38,11 @@
 void DropAllRuns(Owner& owner, TargetView& target, std::string_view reason,
                  Context& context);
 
+/// As DropAllRuns, but leaves the runs of the tasks in `kept`.
+void DropRunsExcept(Owner& owner, TargetView& target,
+                    const std::set<TaskName>& kept, std::string_view reason,
+                    Context& context);
+
 /// Marks a run as stopping and sends the stop request. Drops a planned run.
 void StopRun(Owner& owner, TargetView& target, const TaskName& name,
              std::string_view reason, Context& context);
@@ -88,10 +77,6 @@
 /// True if the target may be running tasks of this owner or an earlier one.
 bool HasStartedRuns(const TargetView& target);
 
-/// True if the target can be polled and has runs, ends to acknowledge, or has
-/// not answered this owner yet.
-bool NeedsPoll(const TargetView& target);
-
 /// Marks a target as retired and drops all its runs.
 void RetireTarget(Owner& owner, TargetView& target, std::string_view reason,
                   Context& context);
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -7,6 +7,7 @@
 #include "Policy/crashes.h"
 #include "Policy/isolation.h"
 #include "Policy/owner_runs.h"
+#include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -504,7 +505,8 @@
 bool IsUsable(const TargetView& target, Instant now) {
   return target.listed && !target.retired && target.synced &&
          !target.entry.draining && !target.reserved &&
-         target.unanswered_polls == 0 && target.avoid_until <= now;
+         target.unanswered_polls == 0 && target.avoid_until <= now &&
+         !target.instance_doubted;
 }
 
 void PlaceTasks(Owner& owner, Context& context) {
--- /dev/null
+++ b/Source/Policy/target_polls.cc
@@ -0,0 +1,97 @@
+#include "Policy/target_polls.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Policy/crashes.h"
+#include "Policy/owner_runs.h"
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long a poll waits for an end. A waiting poll costs a single check. Less
+/// than half a lease, so that one lost poll does not let the lease expire.
+constexpr Duration kPollWait = milliseconds(1400);
+/// Shorter wait while background tasks are throttled, which needs the load that
+/// polls report, or while a task that may crash the target has just started.
+constexpr Duration kShortPollWait = milliseconds(400);
+/// Between polls of a target that has ends whose effect is not stored yet.
+constexpr Duration kUnstoredEndsPollInterval = milliseconds(500);
+
+/// False while a start may have reached another instance, which numbers its
+/// ends anew and forgets those that are acknowledged.
+bool MayAcknowledgeEnds(const TargetView& target) {
+  return !target.instance_doubted &&
+         std::none_of(target.runs.begin(), target.runs.end(),
+                      [](const auto& run) {
+                        return run.second.start_outcome_unknown &&
+                               !run.second.instance_confirmed;
+                      });
+}
+
+/// True if the target would report the same ends again at once.
+bool HasUnacknowledgedEnds(const TargetView& target) {
+  const bool unstored = target.last_end_processed > target.last_end_stored;
+  const bool unacknowledged =
+      target.last_end_processed > target.last_end_acknowledged;
+  return unstored || (unacknowledged && !MayAcknowledgeEnds(target));
+}
+
+}  // namespace
+
+void SendPoll(Owner& owner, TargetView& target, Context& context) {
+  const bool unresponsive = target.unanswered_polls > 0;
+  const bool wait =
+      target.synced && !unresponsive && !target.instance_doubted &&
+      !HasUnacknowledgedEnds(target) &&
+      HasRecentReading(target, context.time.now) && HasStartedRuns(target);
+  TargetRequest request{.kind = TargetRequestKind::kPoll};
+  // Repeating an acknowledgement could make another instance forget its ends.
+  const bool acknowledges =
+      target.last_end_stored > target.last_end_acknowledged &&
+      MayAcknowledgeEnds(target);
+  if (acknowledges) request.last_end_stored = target.last_end_stored;
+  const bool short_wait = target.next_throttle > context.time.now ||
+                          HasUndecidedIsolatedRun(owner, target);
+  request.wait =
+      wait ? (short_wait ? kShortPollWait : kPollWait) : Duration::zero();
+  // After an unanswered poll the lease is not extended until the target
+  // replies. Otherwise the owner could never give up its runs.
+  const bool extend_lease = target.clock.has_value() && !unresponsive &&
+                            !target.instance_doubted && HasStartedRuns(target);
+  target.poll_wanted = false;
+  SendTargetRequest(owner, target, std::move(request), extend_lease, context);
+}
+
+Duration PollDelay(const TargetView& target) {
+  if (target.unanswered_polls > 0) return kPollRetryDelay;
+  return HasUnacknowledgedEnds(target) ? kUnstoredEndsPollInterval
+                                       : Duration::zero();
+}
+
+bool HasRecentReading(const TargetView& target, Instant now) {
+  return target.clock.has_value() &&
+         now - target.clock->received_at <= kMaxReadingAge;
+}
+
+void RequestPoll(Owner& owner, TargetView& target, Context& context) {
+  target.poll_wanted = true;
+  target.next_poll = context.time.now;
+  AddToNextRound(owner, target);
+  ScheduleRound(owner, context.time.now);
+}
+
+bool NeedsPoll(const TargetView& target) {
+  const bool wanted = target.unanswered_polls == 0 &&
+                      (target.instance_doubted || target.poll_wanted);
+  const bool can_poll = !target.retired && target.pending_poll == 0 &&
+                        !target.entry.address.empty();
+  return can_poll &&
+         (HasStartedRuns(target) ||
+          target.last_end_acknowledged < target.last_end_processed ||
+          !target.synced || wanted);
+}
+
+}  // namespace hyssopbarrow::fleet
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -1,4 +1,8 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <limits>
+#include <random>
 #include <string>
 
 #include "Fleet/fleet_simulation.h"
@@ -10,14 +14,29 @@
 using std::chrono::seconds;
 
 constexpr int kTargets = 4;
+/// Tasks of SimpleJob that fit on a target.
+constexpr int kTasksPerTarget = 4;
+/// One more task than fit on all targets but one, so that each target has one.
+constexpr int kTasksOfAllTargets = (kTargets - 1) * kTasksPerTarget + 1;
+
 std::string JobId(int n) {
   const std::string digits = std::to_string(n);
   return std::string(16 - digits.size(), '0') + digits;
 }
 
+void RestartAllTargets(FleetSimulation& simulation) {
+  for (int n = 0; n < kTargets; ++n) {
+    simulation.RestartTarget(n, milliseconds(50));
+  }
+}
+
 /// A job that leaves some targets without runs.
 JobSpec SmallJob() { return SimpleJob(2, false); }
 
+void SubmitToAllTargets(FleetSimulation& simulation, int job) {
+  simulation.Submit(JobId(job), SimpleJob(kTasksOfAllTargets, false));
+}
+
 void ExpectNoViolation(const FleetSimulation& simulation) {
   CAPTURE(simulation.violations);
   CHECK(simulation.violations.empty());
@@ -30,6 +49,114 @@
   ExpectNoViolation(simulation);
 }
 
+std::int64_t CountStartedOnce(const FleetSimulation& simulation, int job,
+                              std::int64_t tasks = kTasksOfAllTargets) {
+  std::int64_t count = 0;
+  for (std::int64_t n = 0; n < tasks; ++n) {
+    count += simulation.StartsOf({JobId(job), 0, 0, n}) == 1 ? 1 : 0;
+  }
+  return count;
+}
+
+std::int64_t CountStarted(const FleetSimulation& simulation, int job) {
+  std::int64_t count = 0;
+  for (std::int64_t n = 0; n < kTasksOfAllTargets; ++n) {
+    count += simulation.StartsOf({JobId(job), 0, 0, n}) > 0 ? 1 : 0;
+  }
+  return count;
+}
+
+// Review 2, TWICE: the owner dropped runs of the new instance as the row of
+// that instance arrived, and started them elsewhere.
+TEST_CASE("a run on a restarted target outlasts the arrival of its new row") {
+  const auto seed = GENERATE(range<std::uint64_t>(400, 403));
+  const auto delay_ms = GENERATE(200, 500, 1000, 2000);
+  CAPTURE(seed, delay_ms);
+  FleetSimulation simulation(seed, 3, kTargets);
+  simulation.entry_delay = milliseconds(delay_ms);
+  simulation.task_duration = seconds(6);
+  simulation.Run(seconds(4));
+  RestartAllTargets(simulation);
+  simulation.Run(milliseconds(60));
+  simulation.Submit(JobId(1), SmallJob());
+  simulation.Run(seconds(20));
+  CHECK(CountStartedOnce(simulation, 1, 2) == 2);
+  ExpectCompletedWithoutViolation(simulation, 1);
+}
+
+// Review 2, TWICE: an assignment that names the earlier instance was taken as
+// lost with it, although the new instance had taken the start.
+TEST_CASE("a new owner keeps runs assigned to the earlier instance") {
+  const auto seed = GENERATE(range<std::uint64_t>(410, 413));
+  const auto delay_ms = GENERATE(200, 500, 1000, 2000);
+  const auto kill_ms = GENERATE(60, 150);
+  CAPTURE(seed, delay_ms, kill_ms);
+  FleetSimulation simulation(seed, 3, kTargets);
+  simulation.entry_delay = milliseconds(delay_ms);
+  simulation.task_duration = seconds(6);
+  simulation.Run(seconds(4));
+  RestartAllTargets(simulation);
+  simulation.Run(milliseconds(60));
+  simulation.Submit(JobId(1), SmallJob());
+  simulation.Run(milliseconds(kill_ms));
+  REQUIRE(simulation.OwnerIndex() >= 0);
+  simulation.KillEntry(simulation.OwnerIndex());
+  simulation.Run(seconds(25));
+  ExpectCompletedWithoutViolation(simulation, 1);
+}
+
+/// Highest number of targets that crashed under one task of a chained job.
+std::int64_t MostCrashesUnder(const FleetSimulation& simulation, int job,
+                              std::int64_t tasks) {
+  std::int64_t most = 0;
+  for (std::int64_t step = 0; step < 2; ++step) {
+    for (std::int64_t n = 0; n < tasks; ++n) {
+      most = std::max(most, simulation.CrashesUnder({JobId(job), 0, step, n}));
+    }
+  }
+  return most;
+}
+
+// Review 2, TWICE: an acknowledgement meant for the earlier instance made the
+// new one forget ends that the owner had not seen.
+TEST_CASE("ends of a new instance outlast numbers of the earlier one") {
+  const auto seed = GENERATE(range<std::uint64_t>(420, 424));
+  const auto delay_ms = GENERATE(100, 500);
+  CAPTURE(seed, delay_ms);
+  constexpr int kManyTargets = 7;
+  constexpr int kJobs = 40;
+  constexpr int kRestarts = 30;
+  constexpr std::int64_t kTasks = kManyTargets - 1;
+  FleetSimulation simulation(seed, 3, kManyTargets);
+  simulation.entry_delay = milliseconds(delay_ms);
+  simulation.Run(seconds(2));
+  std::mt19937_64 rng(seed);
+  for (int n = 0; n < kRestarts; ++n) {
+    const int target = static_cast<int>(rng() % kManyTargets);
+    simulation.ScheduleAfter(milliseconds(1300) * n, [&simulation, target] {
+      simulation.RestartTarget(target, milliseconds(100));
+    });
+  }
+  for (int n = 0; n < kJobs; ++n) {
+    simulation.ScheduleAfter(milliseconds(850) * n, [&simulation, n] {
+      JobSpec spec = SimpleJob(kTasks, true);
+      for (Step& step : spec.steps) step.max_per_target = 1;
+      simulation.Submit(JobId(n), spec);
+    });
+  }
+  simulation.Run(seconds(60));
+  for (int n = 0; n < kJobs; ++n) {
+    CAPTURE(n);
+    // A task under which two targets have crashed may be given up.
+    const bool may_fail = MostCrashesUnder(simulation, n, kTasks) >= 2;
+    const JobState state = simulation.StateOf(JobId(n));
+    CHECK((state == JobState::kCompleted ||
+           (may_fail && state == JobState::kFailed)));
+  }
+  CHECK(simulation.UnfinishedTasksOfCompletedJobs().empty());
+  ExpectNoViolation(simulation);
+}
+
 // Review 1, TWICE: the lease of a target that was idle was counted from an old
 // reading of its slow clock, and outlasted what the owner allowed for.
 TEST_CASE("a lease on a slow clock ends in time after a long idle time") {
@@ -48,5 +175,89 @@
   ExpectCompletedWithoutViolation(simulation, 1);
 }
 
+// Review, TWICE: the row of another writer was taken as a restart, and all
+// runs of the target were started a second time.
+TEST_CASE("runs outlast a row of another writer") {
+  FleetSimulation simulation(440, 3, kTargets);
+  simulation.task_duration = seconds(6);
+  simulation.Run(seconds(4));
+  simulation.Submit(JobId(1), SmallJob());
+  simulation.Run(seconds(1));
+  std::function<void(Target&)> change;
+  SECTION("without a start time") {
+    change = [](Target& row) { row.started_unix_ms = 0; };
+  }
+  SECTION("with an earlier start time") {
+    change = [](Target& row) { row.started_unix_ms -= 5000; };
+  }
+  SECTION("with a start time far in the future") {
+    change = [](Target& row) { row.started_unix_ms = 9'000'000'000'000'000; };
+  }
+  SECTION("with the largest start time") {
+    change = [](Target& row) {
+      row.started_unix_ms = std::numeric_limits<std::int64_t>::max();
+    };
+  }
+  SECTION("with another address") {
+    change = [](Target& row) { row.address = "10.0.9.9:80"; };
+  }
+  for (int n = 0; n < kTargets; ++n) {
+    Target row = simulation.TargetEntry(n);
+    change(row);
+    simulation.ReplaceRow(n, row);
+  }
+  simulation.Run(seconds(1));
+  for (int n = 0; n < kTargets; ++n) simulation.WriteRow(n);
+  simulation.Run(seconds(20));
+  CHECK(CountStartedOnce(simulation, 1, 2) == 2);
+  ExpectCompletedWithoutViolation(simulation, 1);
+}
+
+// Near to review 2: a row that lapsed must neither end the runs of its target
+// nor keep the target out of use.
+TEST_CASE("a target whose row lapses and returns keeps its runs and is used") {
+  const auto lapse_ms = GENERATE(300, 2000, 6000);
+  const auto with_runs = GENERATE(false, true);
+  CAPTURE(lapse_ms, with_runs);
+  FleetSimulation simulation(450, 3, kTargets);
+  simulation.task_duration = seconds(6);
+  simulation.Run(seconds(4));
+  if (with_runs) SubmitToAllTargets(simulation, 1);
+  simulation.Run(seconds(1));
+  simulation.RemoveRow(0);
+  simulation.Run(milliseconds(lapse_ms));
+  simulation.WriteRow(0);
+  simulation.Run(seconds(20));
+  if (with_runs) {
+    CHECK(CountStartedOnce(simulation, 1) == kTasksOfAllTargets);
+    ExpectCompletedWithoutViolation(simulation, 1);
+  }
+  SubmitToAllTargets(simulation, 2);
+  simulation.Run(seconds(2));
+  CHECK(CountStarted(simulation, 2) == kTasksOfAllTargets);
+  simulation.Run(seconds(20));
+  ExpectCompletedWithoutViolation(simulation, 2);
+}
+
+// The hardest order near to review 1 and 2: only the lost reply could tell of
+// the new instance, by whose young clock the lease lasts for the longest time
+// that targets accept.
+TEST_CASE("a lease is waited for whose start reply was lost after a restart") {
+  const auto seed = GENERATE(range<std::uint64_t>(470, 474));
+  CAPTURE(seed);
+  FleetSimulation simulation(seed, 3, kTargets);
+  simulation.entry_delay = milliseconds(1000);
+  simulation.task_duration = seconds(12);
+  simulation.Run(seconds(30));
+  simulation.RestartTarget(0, milliseconds(50));
+  simulation.Run(milliseconds(55));
+  simulation.CutOffTarget(0, TargetCut::kReplies, milliseconds(400));
+  SubmitToAllTargets(simulation, 1);
+  simulation.Run(milliseconds(400));
+  simulation.CutOffTarget(0, TargetCut::kBothWays, seconds(8));
+  simulation.Run(seconds(60));
+  ExpectCompletedWithoutViolation(simulation, 1);
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
