Policy: Poll a target that has not replied until it replies

Only targets with runs were polled, and only a reply ends the state in which a target gets no tasks. A target that had lost its runs to a cut was never used again.

Listed targets that have not answered their last poll and have no runs are polled about once a second, the longest waiting first, at most 200 a second in a fleet.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -12,6 +12,7 @@
 #include "Policy/placement.h"
 #include "Policy/store_keys.h"
 #include "Policy/target_instance.h"
+#include "Policy/target_polls.h"
 #include "Policy/throttling.h"
 
 namespace hyssopbarrow::fleet {
@@ -219,6 +220,7 @@
       target.in_next_round = false;
       AdvanceTarget(owner, target, context);
     }
+    PollUnresponsiveTargets(owner, context);
   } else {
     for (const std::string& id : changed) {
       auto it = owner.targets.find(id);
--- a/Source/Policy/target_polls.cc
+++ b/Source/Policy/target_polls.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "Policy/crashes.h"
 #include "Policy/owner_runs.h"
@@ -20,8 +21,13 @@
 /// Between polls of a target that has ends whose effect is not stored yet.
 constexpr Duration kUnstoredEndsPollInterval = milliseconds(500);
 
-/// False while a start may have reached another instance, which numbers its
-/// ends anew and forgets those that are acknowledged.
+/// Between polls of an unresponsive target without runs.
+constexpr Duration kRecoveryPollInterval = milliseconds(1000);
+/// Of these targets that are polled in a round, of which there are 20 a second.
+constexpr std::size_t kMaxRecoveryPolls = 10;
+
+/// False while a start may have reached another instance, which numbers its ends
+/// anew and forgets those that are acknowledged.
 bool MayAcknowledgeEnds(const TargetView& target) {
   return !target.instance_doubted &&
          std::none_of(target.runs.begin(), target.runs.end(),
@@ -66,7 +72,10 @@
 }
 
 Duration PollDelay(const TargetView& target) {
-  if (target.unanswered_polls > 0) return kPollRetryDelay;
+  if (target.unanswered_polls > 0) {
+    const bool idle = target.synced && target.runs.empty();
+    return idle ? kRecoveryPollInterval : kPollRetryDelay;
+  }
   return HasUnacknowledgedEnds(target) ? kUnstoredEndsPollInterval
                                        : Duration::zero();
 }
@@ -94,4 +103,24 @@
           !target.synced || wanted);
 }
 
+void PollUnresponsiveTargets(Owner& owner, Context& context) {
+  if (!owner.jobs_loaded || !MaySendTargetRequests(owner, context.time.now)) {
+    return;
+  }
+  std::vector<TargetView*> due;
+  for (auto& [id, target] : owner.targets) {
+    const bool unresponsive = target.listed && !target.retired &&
+                              target.unanswered_polls > 0 &&
+                              target.pending_poll == 0 && target.runs.empty();
+    if (unresponsive && target.next_poll <= context.time.now) {
+      due.push_back(&target);
+    }
+  }
+  std::sort(due.begin(), due.end(), [](const auto* a, const auto* b) {
+    return a->next_poll < b->next_poll;
+  });
+  if (due.size() > kMaxRecoveryPolls) due.resize(kMaxRecoveryPolls);
+  for (TargetView* target : due) SendPoll(owner, *target, context);
+}
+
 }  // namespace hyssopbarrow::fleet
--- a/Source/Policy/target_polls.h
+++ b/Source/Policy/target_polls.h
@@ -32,6 +32,10 @@
 
 void SendPoll(Owner& owner, TargetView& target, Context& context);
 
+/// Polls listed targets without runs that have not answered their last poll, so
+/// that they can be used again. Sends a limited number, the oldest first.
+void PollUnresponsiveTargets(Owner& owner, Context& context);
+
 }  // namespace hyssopbarrow::fleet
 
 #endif  // HYSSOPBARROW_POLICY_TARGET_POLLS_H_
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -239,6 +239,30 @@
   ExpectCompletedWithoutViolation(simulation, 2);
 }
 
+// Review 3, LOST: a target that had not replied for a while was not polled
+// again once it had no runs, and jobs that needed it stayed pending.
+TEST_CASE("a target that was cut off is used again") {
+  const auto seed = GENERATE(range<std::uint64_t>(460, 464));
+  // When the first job is submitted, counted from the start of the cut.
+  const auto submit_ms = GENERATE(-60, 0, 200, 1500);
+  CAPTURE(seed, submit_ms);
+  FleetSimulation simulation(seed, 3, kTargets);
+  simulation.ScheduleAfter(milliseconds(9000 + submit_ms), [&simulation] {
+    SubmitToAllTargets(simulation, 1);
+  });
+  simulation.Run(seconds(9));
+  simulation.CutOffTarget(0, TargetCut::kBothWays, seconds(3));
+  simulation.Run(seconds(3));
+  // No other target has room for the last task.
+  simulation.task_duration = seconds(10);
+  SubmitToAllTargets(simulation, 2);
+  simulation.Run(seconds(3));
+  CHECK(CountStarted(simulation, 2) == kTasksOfAllTargets);
+  simulation.Run(seconds(30));
+  ExpectCompletedWithoutViolation(simulation, 1);
+  ExpectCompletedWithoutViolation(simulation, 2);
+}
+
 // The hardest order near to review 1 and 2: only the lost reply could tell of
 // the new instance, by whose young clock the lease lasts for the longest time
 // that targets accept.
