Policy: Trust a refusal only at the address that the target replied from

A reviewer who had not seen the work found by reading: an entry of another writer with another start and another address made the owner ask another target, take the refusal of that one as the end of the first, and start its runs a second time. The true entry did not bring the address back.

A request keeps its address; the address of a target is the one from which its instance has answered a poll, and a refusal elsewhere counts as no reply. Found in the same reading and mended here: a start that another target refused counted as the cause of a crash; a poll that was refused left the target in use; a late request in the time of an earlier instance could extend the lease of the next one beyond its bound; the lease was not extended while ends waited to be acknowledged; an acknowledgement could overtake a start that was still unanswered.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -341,7 +341,11 @@
       const std::int64_t pending_requests = target.pending_requests;
       target = TargetView{};
       target.pending_requests = pending_requests;
-      target.latest_lease_end = context.time.now;
+      target.found_at = context.time.now;
+      // A late request to the earlier instance may extend the lease.
+      target.latest_lease_end =
+          replaced ? LatestUnknownLeaseEnd(context.timing, context.time.now)
+                   : context.time.now;
       owner.placement_due = true;
       Log(context, Severity::kInfo, "target_found",
           {{"target", entry.id},
@@ -355,7 +359,6 @@
       owner.placement_due = true;
     }
     if (!owner.lost_runs.empty()) CountLostRuns(owner, entry, context);
-    const std::string address = target.entry.address;
     target.entry = entry;
     target.listed = true;
     if (inserted || replaced) {
@@ -367,7 +370,7 @@
       DoubtInstance(owner, target, "its entry names another instance", context);
     } else if (!target.address_replied.empty()) {
       // An instance keeps its address.
-      target.entry.address = address;
+      target.entry.address = target.address_replied;
     }
     if (known_by_assignment_only) AddToNextRound(owner, target);
   }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -106,6 +106,7 @@
 /// A target as known to the owner.
 struct TargetView {
   Target entry;
+  Instant found_at{};    ///< When the owner first knew of this instance.
   bool listed = true;    ///< In the targets table.
   bool retired = false;  ///< Its host was moved or taken out; it runs nothing.
   std::map<TaskName, Run> runs;
@@ -153,6 +154,7 @@
 struct PendingTargetRequest {
   TargetRequestKind kind = TargetRequestKind::kPoll;
   std::string target;
+  std::string address;
   TaskName task;
   std::int64_t run = 0;
   std::int64_t last_end_stored = 0;  ///< As in TargetRequest.
@@ -204,6 +206,7 @@
   Instant requests_allowed_from{};
   std::int64_t pending_host_list = 0;  ///< Request id; 0 if none.
   Instant next_host_list{};
+  Instant host_list_requested_at{};
   Instant host_list_received_at{};
   /// Hosts by the id of their pending request.
   std::unordered_map<std::int64_t, std::string> host_by_request;
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -127,7 +127,7 @@
     target.synced = true;
     owner.placement_due = true;
   }
-  target.next_poll = now + PollDelay(target);
+  target.next_poll = now + PollDelay(target, now);
 }
 
 /// Handles a rejected start request. This attempt has not run, but earlier
@@ -244,7 +244,7 @@
   // Only unanswered polls mark a target as unresponsive.
   if (!is_current_poll) return;
   const bool was_responsive = target.unanswered_polls++ == 0;
-  target.next_poll = now + PollDelay(target);
+  target.next_poll = now + PollDelay(target, now);
   if (!was_responsive) return;
   Log(context, Severity::kWarn, "target_unresponsive",
       {{"target", target.entry.id},
@@ -310,8 +310,8 @@
   }
 }
 
-bool HandleTargetReply(Owner& owner, std::int64_t id, const TargetReply& reply,
-                       Context& context) {
+bool HandleTargetReply(Owner& owner, std::int64_t id,
+                       const TargetReply& received, Context& context) {
   auto it = owner.pending_target_requests.find(id);
   if (it == owner.pending_target_requests.end()) return false;
   const PendingTargetRequest request = std::move(it->second);
@@ -333,14 +333,16 @@
       target.retired) {
     return true;
   }
-  const bool relay_lost = reply.result == TargetResult::kRelayLost;
+  const bool from_other = received.result == TargetResult::kOtherInstance;
+  const bool known_address = target.address_replied.empty() ||
+                             request.address == target.address_replied;
+  const bool gone = from_other && known_address;
   // An entry may name an address that is not the target's.
-  const bool gone = reply.result == TargetResult::kOtherInstance &&
-                    target.entry.address == target.address_replied;
-  const bool responsive =
-      reply.result != TargetResult::kNoReply &&
-      reply.result != TargetResult::kNotSent && !relay_lost &&
-      (reply.result != TargetResult::kOtherInstance || gone);
+  const TargetReply none;
+  const TargetReply& reply = from_other && !gone ? none : received;
+  const bool relay_lost = reply.result == TargetResult::kRelayLost;
+  const bool responsive = reply.result != TargetResult::kNoReply &&
+                          reply.result != TargetResult::kNotSent && !relay_lost;
   if (relay_lost) {
     if (is_current_poll) target.next_poll = now;
   } else if (!responsive) {
@@ -354,17 +356,17 @@
         {{"target", target.entry.id}, {"epoch", std::to_string(owner.epoch)}});
   }
   if (gone) {
-    HandleTargetGone(owner, target, context);
+    HandleTargetGone(owner, target, request, context);
     return true;
   }
   const bool was_recent = HasRecentReading(target, now);
   const bool same_instance =
       UpdateInstance(owner, target, request, reply, is_current_poll, context);
-  if (responsive) {
+  if (responsive && !target.instance_doubted) {
     target.last_reply_at = now;
     if (!owner.lost_runs.empty()) {
       CountLostRuns(owner, target.entry, context);
-      if (!target.instance_doubted) owner.lost_runs.erase(target.entry.id);
+      owner.lost_runs.erase(target.entry.id);
     }
   }
   switch (request.kind) {
@@ -374,6 +376,8 @@
         HandlePollReply(owner, target, request, reply, context);
       } else if (responsive) {
         target.next_poll = now + kPollRetryDelay;
+        target.avoid_until =
+            std::max(target.avoid_until, now + kAvoidUnhealthy);
       }
       break;
     case TargetRequestKind::kStart:
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -251,6 +251,7 @@
   request.fresh_connection = target.unanswered_polls > 0;
   PendingTargetRequest pending{.kind = request.kind,
                                .target = request.target,
+                               .address = request.address,
                                .task = request.task,
                                .run = request.run,
                                .last_end_stored = request.last_end_stored,
@@ -342,7 +343,7 @@
     SendStopOrStart(owner, target, name, target.runs.at(name), context);
   }
   if (target.next_poll > now || !NeedsPoll(target)) return;
-  target.next_poll = now + PollDelay(target);
+  target.next_poll = now + PollDelay(target, now);
   SendPoll(owner, target, context);
 }
 
--- a/Source/Policy/target_instance.cc
+++ b/Source/Policy/target_instance.cc
@@ -63,11 +63,10 @@
                     context);
   target.entry.started_unix_ms = reply.started_unix_ms;
   ResetInstance(target);
-  if (!target.runs.empty()) {
-    target.latest_lease_end =
-        std::max(target.latest_lease_end,
-                 LatestUnknownLeaseEnd(context.timing, context.time.now));
-  }
+  // A late request in the time of the earlier instance may extend the lease.
+  target.latest_lease_end =
+      std::max(target.latest_lease_end,
+               LatestUnknownLeaseEnd(context.timing, context.time.now));
   for (auto& [name, run] : target.runs) {
     run.instance_confirmed = false;
     run.request_pending = false;
@@ -98,7 +97,14 @@
   RequestPoll(owner, target, context);
 }
 
-void HandleTargetGone(Owner& owner, TargetView& target, Context& context) {
+void HandleTargetGone(Owner& owner, TargetView& target,
+                      const PendingTargetRequest& request, Context& context) {
+  // A start that was refused has not run, so it is no cause of a crash.
+  const auto run = target.runs.find(request.task);
+  const bool refused =
+      request.kind == TargetRequestKind::kStart && run != target.runs.end() &&
+      run->second.number == request.run && !run->second.start_outcome_unknown;
+  if (refused) DropRun(owner, target, request.task);
   HandleTargetCrash(owner, target, "another target has its address", context);
   ResetInstance(target);
   target.next_poll = context.time.now + kPollRetryDelay;
@@ -123,7 +129,7 @@
     if (reply.started_unix_ms != 0) {
       target.entry.started_unix_ms = reply.started_unix_ms;
     }
-    target.address_replied = target.entry.address;
+    target.address_replied = request.address;
     if (is_current_poll) target.instance_doubted = false;
   }
   if (reply.clock_ms <= 0) return answers_poll && !other;
--- a/Source/Policy/target_instance.h
+++ b/Source/Policy/target_instance.h
@@ -12,7 +12,8 @@
                    Context& context);
 
 /// Handles a reply from the address of the target that another target sent.
-void HandleTargetGone(Owner& owner, TargetView& target, Context& context);
+void HandleTargetGone(Owner& owner, TargetView& target,
+                      const PendingTargetRequest& request, Context& context);
 
 /// Finds out which instance of the target has replied, and takes its clock.
 /// Only replies to polls name the instance; others show it by their clock.
--- a/Source/Policy/target_polls.cc
+++ b/Source/Policy/target_polls.cc
@@ -21,28 +21,33 @@
 /// Between polls of a target that has ends whose effect is not stored yet.
 constexpr Duration kUnstoredEndsPollInterval = milliseconds(500);
 
+/// A start that takes longer to be answered may have been lost.
+constexpr Duration kUsualReplyTime = milliseconds(100);
 /// Between polls of an unresponsive target without runs.
 constexpr Duration kRecoveryPollInterval = milliseconds(1000);
 /// Of these targets that are polled in a round, of which there are 20 a second.
 constexpr std::size_t kMaxRecoveryPolls = 10;
 
-/// False while a start may have reached another instance, which numbers its ends
-/// anew and forgets those that are acknowledged.
-bool MayAcknowledgeEnds(const TargetView& target) {
+/// False while a start may have reached another instance, which numbers its
+/// ends anew and forgets those that are acknowledged.
+bool MayAcknowledgeEnds(const TargetView& target, Instant now) {
+  const auto may_be_elsewhere = [now](const auto& it) {
+    const Run& run = it.second;
+    const bool unanswered =
+        run.start_outcome_unknown || run.start_sent_at + kUsualReplyTime < now;
+    return run.phase != RunPhase::kPlanned && !run.instance_confirmed &&
+           unanswered;
+  };
   return !target.instance_doubted &&
-         std::none_of(target.runs.begin(), target.runs.end(),
-                      [](const auto& run) {
-                        return run.second.start_outcome_unknown &&
-                               !run.second.instance_confirmed;
-                      });
+         std::none_of(target.runs.begin(), target.runs.end(), may_be_elsewhere);
 }
 
 /// True if the target would report the same ends again at once.
-bool HasUnacknowledgedEnds(const TargetView& target) {
+bool HasUnacknowledgedEnds(const TargetView& target, Instant now) {
   const bool unstored = target.last_end_processed > target.last_end_stored;
   const bool unacknowledged =
       target.last_end_processed > target.last_end_acknowledged;
-  return unstored || (unacknowledged && !MayAcknowledgeEnds(target));
+  return unstored || (unacknowledged && !MayAcknowledgeEnds(target, now));
 }
 
 }  // namespace
@@ -51,13 +56,13 @@
   const bool unresponsive = target.unanswered_polls > 0;
   const bool wait =
       target.synced && !unresponsive && !target.instance_doubted &&
-      !HasUnacknowledgedEnds(target) &&
+      !HasUnacknowledgedEnds(target, context.time.now) &&
       HasRecentReading(target, context.time.now) && HasStartedRuns(target);
   TargetRequest request{.kind = TargetRequestKind::kPoll};
   // Repeating an acknowledgement could make another instance forget its ends.
   const bool acknowledges =
       target.last_end_stored > target.last_end_acknowledged &&
-      MayAcknowledgeEnds(target);
+      MayAcknowledgeEnds(target, context.time.now);
   if (acknowledges) request.last_end_stored = target.last_end_stored;
   const bool short_wait = target.next_throttle > context.time.now ||
                           HasUndecidedIsolatedRun(owner, target);
@@ -65,19 +70,23 @@
       wait ? (short_wait ? kShortPollWait : kPollWait) : Duration::zero();
   // After an unanswered poll the lease is not extended until the target
   // replies. Otherwise the owner could never give up its runs.
+  // An end that is acknowledged after the lease has expired counts for nothing.
+  const bool needs_lease =
+      HasStartedRuns(target) ||
+      target.last_end_acknowledged < target.last_end_processed;
   const bool extend_lease = target.clock.has_value() && !unresponsive &&
-                            !target.instance_doubted && HasStartedRuns(target);
+                            !target.instance_doubted && needs_lease;
   target.poll_wanted = false;
   SendTargetRequest(owner, target, std::move(request), extend_lease, context);
 }
 
-Duration PollDelay(const TargetView& target) {
+Duration PollDelay(const TargetView& target, Instant now) {
   if (target.unanswered_polls > 0) {
     const bool idle = target.synced && target.runs.empty();
     return idle ? kRecoveryPollInterval : kPollRetryDelay;
   }
-  return HasUnacknowledgedEnds(target) ? kUnstoredEndsPollInterval
-                                       : Duration::zero();
+  return HasUnacknowledgedEnds(target, now) ? kUnstoredEndsPollInterval
+                                            : Duration::zero();
 }
 
 bool HasRecentReading(const TargetView& target, Instant now) {
--- a/Source/Policy/target_polls.h
+++ b/Source/Policy/target_polls.h
@@ -24,7 +24,7 @@
 void RequestPoll(Owner& owner, TargetView& target, Context& context);
 
 /// Delay before the next poll of a target.
-Duration PollDelay(const TargetView& target);
+Duration PollDelay(const TargetView& target, Instant now);
 
 /// True if the target can be polled and has runs, ends to acknowledge, or has
 /// not answered this owner yet.
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -6,6 +6,9 @@
 #include <string>
 
 #include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
+#include "Policy/owner_runs.h"
+#include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -283,5 +286,78 @@
   ExpectCompletedWithoutViolation(simulation, 1);
 }
 
+/// An owner with a target that has answered a poll and has a run.
+struct OwnerWithRun : OwnerFixture {
+  const TaskName task{JobId(1), 0, 0, 0};
+  TargetView& target = owner.targets["i-1"];
+
+  OwnerWithRun() {
+    owner.epoch = 1;
+    owner.jobs_loaded = owner.progress_loaded = owner.targets_loaded = true;
+    owner.jobs_known_at = owner.targets_known_at = now;
+    owner.target_requests_allowed_until = now + seconds(60);
+    target.entry = {
+        .id = "i-1", .address = "10.0.0.1:80", .started_unix_ms = 1000};
+    Context context = MakeContext();
+    SendPoll(owner, target, context);
+    Reply(target.pending_poll, {.result = TargetResult::kDone,
+                                .clock_ms = 5000,
+                                .started_unix_ms = 1000});
+    Run& run = AddRun(owner, target, AddJob(JobId(1)), task, 1, now);
+    run.phase = RunPhase::kStarting;
+    SendStart(owner, target, task, context);
+  }
+
+  void Reply(std::int64_t id, const TargetReply& reply) {
+    Context context = MakeContext();
+    HandleTargetReply(owner, id, reply, context);
+  }
+
+  void ApplyEntry(const Target& entry) {
+    Context context = MakeContext();
+    ApplyTargetRows(owner, {.targets = {entry}}, false, context);
+  }
+
+  std::int64_t Poll() {
+    Context context = MakeContext();
+    SendPoll(owner, target, context);
+    return target.pending_poll;
+  }
+};
+
+// An entry of another writer with another start and the address of another
+// target made the owner drop runs that went on.
+TEST_CASE("a refusal at an address that is not the target's loses no run") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1,
+                {.result = TargetResult::kDone, .clock_ms = 5000});
+  const std::int64_t waiting_poll = fixture.Poll();
+  Target odd = fixture.target.entry;
+  odd.address = "10.0.0.2:80";
+  odd.started_unix_ms = 2000;
+  fixture.ApplyEntry(odd);
+  fixture.Reply(fixture.Poll(), {.result = TargetResult::kOtherInstance});
+  fixture.Reply(waiting_poll, {.result = TargetResult::kDone,
+                               .clock_ms = 5000,
+                               .started_unix_ms = 1000,
+                               .runs = {{.task = fixture.task, .run = 1}}});
+  fixture.Reply(fixture.Poll(), {.result = TargetResult::kOtherInstance});
+  CHECK(fixture.target.runs.count(fixture.task) == 1);
+  odd.address = "10.0.0.1:80";
+  odd.started_unix_ms = 1000;
+  fixture.ApplyEntry(odd);
+  CHECK(fixture.target.entry.address == "10.0.0.1:80");
+}
+
+// Starts that were refused by the next target of a host counted as crashes
+// under their tasks, and sound jobs were given up.
+TEST_CASE("a start that another target refuses is no cause of a crash") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1, {.result = TargetResult::kOtherInstance});
+  CHECK(fixture.target.runs.empty());
+  CHECK(fixture.owner.crash_count == 0);
+  CHECK(fixture.owner.crash_suspects.empty());
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
