Policy: Empty a host by what its target runs, listed or not

The host manager looked only for listed targets, so that a host whose target was at work without an entry counted as empty and idle, and was taken out first. With two entries of one host, an earlier target could be looked at instead of the present one, and a target that came back during an operation got tasks again.

The target of a host is any that is not retired, the listed and latest one first, or the one that the list of hosts names. Its runs decide. A list of hosts retires no target that was found or has replied after the list was requested.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -27,9 +27,12 @@
 /// Retires unresponsive targets whose host runs another target or none.
 void RetireReplacedTargets(Owner& owner, Context& context) {
   for (auto& [id, target] : owner.targets) {
-    if (target.retired || (target.synced && target.unanswered_polls == 0)) {
-      continue;
-    }
+    // The list tells nothing of what happened after it was requested.
+    const Instant asked_at = owner.host_manager.host_list_requested_at;
+    const bool later_known =
+        target.found_at > asked_at || target.last_reply_at > asked_at;
+    const bool responsive = target.synced && target.unanswered_polls == 0;
+    if (target.retired || responsive || later_known) continue;
     if (target.entry.host.empty()) {
       // The target is known only from its runs, so any host may have run it.
       const bool present = std::any_of(owner.host_manager.hosts.begin(),
@@ -72,10 +75,15 @@
 
 HostPlanner::HostPlanner(Owner& owner, Context& context)
     : owner_(owner), host_manager_(owner.host_manager), context_(context) {
+  // The entry of a target may lapse while it has runs.
   for (auto& [id, target] : owner_.targets) {
-    if (target.listed && !target.retired) {
-      targets_by_host_[target.entry.host] = &target;
-    }
+    if (target.retired) continue;
+    TargetView*& found = targets_by_host_[target.entry.host];
+    const auto key = [](const TargetView& it) {
+      return std::make_pair(it.listed, it.entry.started_unix_ms);
+    };
+    // The entry of an earlier target may still be listed.
+    if (found == nullptr || key(*found) < key(target)) found = &target;
   }
 }
 
@@ -102,7 +110,11 @@
 
 TargetView* HostPlanner::FindTargetOn(const HostView& host) {
   auto it = targets_by_host_.find(host.host.name);
-  return it == targets_by_host_.end() ? nullptr : it->second;
+  if (it != targets_by_host_.end()) return it->second;
+  // A target that is known only from stored runs names no host.
+  auto target = owner_.targets.find(host.host.target);
+  const bool found = target != owner_.targets.end() && !target->second.retired;
+  return found ? &target->second : nullptr;
 }
 
 void HostPlanner::FinishOperation(HostView& host) {
@@ -159,7 +171,8 @@
 
 bool HostPlanner::IsEmpty(const TargetView* target) const {
   return target == nullptr ||
-         (target->runs.empty() && target->pending_requests == 0);
+         (target->runs.empty() && target->unknown_runs.empty() &&
+          target->pending_requests == 0);
 }
 
 void HostPlanner::AdvanceOperation(HostView& host) {
@@ -171,6 +184,7 @@
       host_manager_.waves[host.wave].done_hosts.count(host.host.name) > 0;
   if (done || host.retry_at > now()) return;
   TargetView* target = FindTargetOn(host);
+  if (target != nullptr && !host.request_sent) target->reserved = true;
   if (!host.request_sent && !IsEmpty(target)) {
     EvictTasks(*target);
     return;
@@ -214,6 +228,7 @@
   manager.next_plan = now + kPlanInterval;
   if (manager.pending_host_list == 0 && manager.next_host_list <= now) {
     manager.pending_host_list = context.next_id++;
+    manager.host_list_requested_at = now;
     manager.next_host_list =
         now + (HasActiveOperations(manager) ? kActiveListInterval
                                             : kInactiveListInterval);
--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -114,8 +114,8 @@
                          !WaitsForMaintenance(host);
     if (!movable) continue;
     const TargetView* target = FindTargetOn(host);
-    const bool idle = target == nullptr
-                          ? IsSpare(host.host.pool)
+    const bool idle = target == nullptr || !target->listed
+                          ? IsEmpty(target) && IsSpare(host.host.pool)
                           : IsEmpty(target) && !target->entry.draining;
     if (idle) empty[host.host.pool].push_back(&host);
   }
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -32,7 +32,7 @@
 
  private:
   Instant now() const { return context_.time.now; }
-  /// Returns the listed target on `host`; null if there is none.
+  /// Returns the target on `host`, listed or not; null if there is none.
   TargetView* FindTargetOn(const HostView& host);
   bool IsSpare(const std::string& pool) const;
   /// Ends the host's operation once the host list shows it done and the host
--- a/Tests/Fleet/host_moves_test.cc
+++ b/Tests/Fleet/host_moves_test.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <string>
 
+#include "Fleet/fleet_simulation.h"
 #include "Fleet/owner_fixture.h"
 #include "Model/text.h"
 #include "Policy/host_planner.h"
@@ -88,5 +89,33 @@
   CHECK(fleet.PlanMoves() == expected);
 }
 
+// review/5, AVAIL: a host whose target was at work while its entry had lapsed
+// counted as empty and was taken out.
+TEST_CASE("a host whose target has lost its entry is emptied before upkeep") {
+  const auto seed = GENERATE(range<std::uint64_t>(480, 484));
+  const auto lapse_ms = GENERATE(1500, 4000);
+  CAPTURE(seed, lapse_ms);
+  constexpr int kTargets = 4;
+  FleetSimulation simulation(seed, 3, kTargets);
+  simulation.stop_duration = std::chrono::milliseconds(300);
+  JobSpec spec = SimpleJob(2 * kTargets, false);
+  spec.steps[0].long_running = true;
+  spec.steps[0].max_unavailable_tasks = 1;
+  simulation.Run(std::chrono::seconds(3));
+  simulation.Submit("0000000000000001", spec);
+  simulation.Run(std::chrono::seconds(2));
+  simulation.AddWave({.number = 1,
+                      .hosts = {"m-0", "m-1"},
+                      .duration_ms = 25'000,
+                      .max_unavailable = 2});
+  for (int n = 0; n < kTargets; ++n) simulation.RemoveRow(n);
+  simulation.Run(std::chrono::milliseconds(lapse_ms));
+  for (int n = 0; n < kTargets; ++n) simulation.WriteRow(n);
+  simulation.Run(std::chrono::seconds(30));
+  CAPTURE(simulation.violations);
+  CHECK(simulation.violations.empty());
+  CHECK(simulation.IsWavePublishedAsCompleted(1));
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
