Model: Limit the nesting of values decoded from outside

An entry host ended when it read one row of 65,536 bytes that was nested to its end: a list in CBOR in each list, or text of indefinite length in each text. The row stays in its table, so that each host that reads the table ends, again and again. A message of 4 MiB of a peer or a relay, or a greeting, which is read before its sender is known, did the same.

nlohmann's from_cbor recurses into each level, as do copies and dump, and only the size of the stack limited the depth. ParseCbor now counts levels without recursion before it decodes, ParseJson does so for JSON, and both refuse more than kMaxNesting levels. All decoders use the two functions. A row that is nested deeper is an error like any unreadable one, and does not hold up others.

--- a/Source/Control/admin_client.cc
+++ b/Source/Control/admin_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -34,7 +35,7 @@
 }
 
 AdminReply ParseReply(const HttpResponse& response) {
-  auto json = nlohmann::json::parse(response.body, nullptr, false);
+  auto json = ParseJson(response.body);
   if (json.is_object()) return {ExitCodeOf(response.status), std::move(json)};
   const std::string text = StrCat("HTTP status ", response.status);
   const bool ok = response.status == kStatusOk;
--- a/Source/Control/apply_command.cc
+++ b/Source/Control/apply_command.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Control/format.h"
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -30,7 +31,7 @@
 nlohmann::json ScalarToJson(const YAML::Node& node) {
   const bool quoted = node.Tag() == "!";
   if (quoted) return node.Scalar();
-  auto json = nlohmann::json::parse(node.Scalar(), nullptr, false);
+  auto json = ParseJson(node.Scalar());
   if (json.is_boolean() || json.is_number()) return json;
   return node.Scalar();
 }
--- a/Source/Control/context.cc
+++ b/Source/Control/context.cc
@@ -1,13 +1,14 @@
 #include "Control/context.h"
 
 #include "Control/format.h"
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
 namespace {
 
 nlohmann::json ParseValue(const std::string& text) {
-  auto json = nlohmann::json::parse(text, nullptr, false);
+  auto json = ParseJson(text);
   return json.is_discarded() ? nlohmann::json(text) : json;
 }
 
--- a/Source/Control/job_command.cc
+++ b/Source/Control/job_command.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 #include "absl/strings/str_format.h"
 
@@ -56,7 +57,9 @@
         "--spec and FIELD=VALUE cannot be used together");
   }
   std::ifstream in(options.spec);
-  auto json = nlohmann::json::parse(in, nullptr, false);
+  std::ostringstream text;
+  text << in.rdbuf();
+  auto json = ParseJson(text.str());
   if (!json.is_discarded()) return json;
   return absl::InvalidArgumentError(
       StrCat(options.spec, ": not a readable JSON file"));
--- a/Source/Daemon/admin_api.cc
+++ b/Source/Daemon/admin_api.cc
@@ -8,6 +8,7 @@
 
 #include "Daemon/status_api.h"
 #include "Http/json_response.h"
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -119,7 +120,7 @@
 }
 
 absl::StatusOr<std::vector<ConfigChange>> ParseBatch(const std::string& body) {
-  const auto json = nlohmann::json::parse(body, nullptr, false);
+  const auto json = ParseJson(body);
   if (!json.is_object() || !json.contains("changes") ||
       !json["changes"].is_array() || json["changes"].empty()) {
     return InvalidField("changes", "a non-empty list");
@@ -222,7 +223,7 @@
                         const std::string& name, const Responder& responder) {
   ConfigChange change{.kind = kind, .name = name, .value = nullptr};
   if (request.method == "PUT") {
-    change.value = nlohmann::json::parse(request.body, nullptr, false);
+    change.value = ParseJson(request.body);
     if (!change.value.is_object()) {
       return responder.Send(
           ErrorResponse(400, "the body must be a JSON object"));
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -9,6 +9,7 @@
 
 #include "Fleet/fleet_view.h"
 #include "Http/json_response.h"
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow::fleet {
@@ -93,7 +94,7 @@
   if (result != TransferResult::kComplete || response.status != 200) {
     return reply;
   }
-  const auto json = nlohmann::json::parse(response.body, nullptr, false);
+  const auto json = ParseJson(response.body);
   if (!json.is_object()) return reply;
   if (kind == OwnerQueryKind::kJobState) {
     const auto state = json.find("state");
--- a/Source/Fleet/job_api.cc
+++ b/Source/Fleet/job_api.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Http/json_response.h"
+#include "Model/json.h"
 #include "Model/snapshot.h"
 #include "Model/text.h"
 
@@ -47,7 +48,7 @@
 
 /// Sets `call.spec`, or `call.spec_error` if the body is not a valid job.
 void ParseSpec(const std::string& body, Call& call) {
-  const auto json = nlohmann::json::parse(body, nullptr, false);
+  const auto json = ParseJson(body);
   if (json.is_discarded()) {
     call.spec_error = "the body is not JSON";
     return;
--- a/Source/Model/cbor.cc
+++ b/Source/Model/cbor.cc
@@ -1,6 +1,9 @@
 #include "Model/cbor.h"
 
 #include <limits>
+#include <vector>
+
+#include "Model/json.h"
 
 namespace hyssopbarrow {
 namespace {
@@ -29,10 +32,14 @@
   std::size_t size = 0;  ///< Number of these bytes.
 };
 
+constexpr unsigned kTypeShift = 5;
+constexpr unsigned kDetailMask = 31;
+/// Detail of an item of indefinite length, which ends with the byte kBreak.
+constexpr unsigned kIndefinite = 31;
+constexpr char kBreak = '\xff';
+
 std::optional<CborHead> ReadHead(std::string_view bytes) {
   if (bytes.empty()) return std::nullopt;
-  constexpr unsigned kTypeShift = 5;
-  constexpr unsigned kDetailMask = 31;
   constexpr unsigned kFirstSizedDetail = 24;  // 1, 2, 4 or 8 bytes follow.
   constexpr unsigned kLastSizedDetail = 27;
   constexpr unsigned kBitsPerByte = 8;
@@ -53,6 +60,72 @@
   return head;
 }
 
+/// True if an item of indefinite length starts here.
+bool StartsIndefinite(std::string_view bytes) {
+  if (bytes.empty()) return false;
+  const auto first = static_cast<unsigned char>(bytes.front());
+  const auto type = static_cast<CborType>(first >> kTypeShift);
+  return (first & kDetailMask) == kIndefinite && type >= CborType::kBytes &&
+         type <= CborType::kMap;
+}
+
+/// True if `bytes` are items that end with them and are nested at most
+/// kMaxNesting deep.
+bool IsDecodable(std::string_view bytes) {
+  constexpr std::uint64_t kUntilBreak =
+      std::numeric_limits<std::uint64_t>::max();
+  // Items that are missing in each open list or map.
+  std::vector<std::uint64_t> missing = {1};
+  const auto open = [&missing](std::uint64_t items) {
+    missing.push_back(items);
+    return missing.size() <= kMaxNesting + 1;
+  };
+  while (!missing.empty()) {
+    std::uint64_t& items = missing.back();
+    const bool broken =
+        items == kUntilBreak && !bytes.empty() && bytes.front() == kBreak;
+    if (broken) bytes.remove_prefix(1);
+    if (broken || items == 0) {
+      missing.pop_back();
+      continue;
+    }
+    if (items != kUntilBreak) --items;
+    if (StartsIndefinite(bytes)) {
+      bytes.remove_prefix(1);
+      if (!open(kUntilBreak)) return false;
+      continue;
+    }
+    const std::optional<CborHead> head = ReadHead(bytes);
+    if (!head.has_value()) return false;
+    bytes.remove_prefix(head->size);
+    switch (head->type) {
+      case CborType::kBytes:
+      case CborType::kText: {
+        if (head->argument > bytes.size()) return false;
+        const auto size = static_cast<std::size_t>(head->argument);
+        bytes.remove_prefix(size);
+        break;
+      }
+      case CborType::kList:
+      case CborType::kMap: {
+        if (head->argument > bytes.size()) return false;
+        const std::uint64_t items_per_entry =
+            head->type == CborType::kMap ? 2 : 1;
+        if (!open(items_per_entry * head->argument)) return false;
+        break;
+      }
+      case CborType::kTag:
+        if (!open(1)) return false;
+        break;
+      case CborType::kUnsigned:
+      case CborType::kNegative:
+      case CborType::kSimple:
+        break;
+    }
+  }
+  return bytes.empty();
+}
+
 }  // namespace
 
 std::optional<std::size_t> CborReader::List() {
@@ -132,7 +205,9 @@
 }
 
 nlohmann::json ParseCbor(std::string_view bytes) {
+  if (!IsDecodable(bytes)) return nullptr;
   try {
+    // Throws on excessive lengths even with allow_exceptions set to false.
     nlohmann::json value = nlohmann::json::from_cbor(bytes, true, false);
     return value.is_discarded() ? nlohmann::json() : value;
   } catch (const nlohmann::json::exception&) {
--- a/Source/Model/cbor.h
+++ b/Source/Model/cbor.h
@@ -12,8 +12,8 @@
 
 std::string ToCbor(const nlohmann::json& value);
 
-/// Returns null for invalid CBOR. nlohmann's from_cbor throws on excessive
-/// lengths even with allow_exceptions set to false.
+/// Returns null for invalid CBOR and for items that are nested deeper than
+/// kMaxNesting.
 nlohmann::json ParseCbor(std::string_view bytes);
 
 /// Reads CBOR items in order without building a tree of values. A read that
--- a/Source/Model/fields.cc
+++ b/Source/Model/fields.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
--- /dev/null
+++ b/Source/Model/json.h
@@ -0,0 +1,21 @@
+#ifndef HYSSOPBARROW_MODEL_JSON_H_
+#define HYSSOPBARROW_MODEL_JSON_H_
+
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace hyssopbarrow {
+
+/// Most lists and objects around a value that is decoded from outside. The
+/// decoder of CBOR, copies and `dump` recurse, so that the depth of a value
+/// must not depend on its sender.
+constexpr std::size_t kMaxNesting = 64;
+
+/// Returns a discarded value for text that is not JSON or is nested deeper than
+/// kMaxNesting.
+nlohmann::json ParseJson(std::string_view text);
+
+}  // namespace hyssopbarrow
+
+#endif  // HYSSOPBARROW_MODEL_JSON_H_
--- a/Source/Model/snapshot.cc
+++ b/Source/Model/snapshot.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
--- a/Source/Platform/table_client.cc
+++ b/Source/Platform/table_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -19,14 +20,14 @@
   if (response.status != kStatusOk) {
     return WithStatus(StoreStatus::kUnavailable);
   }
-  const auto json = nlohmann::json::parse(response.body, nullptr, false);
+  const auto json = ParseJson(response.body);
   absl::StatusOr<std::vector<Row>> rows = ParseRows(json);
   if (!rows.ok()) return WithStatus(StoreStatus::kUnavailable);
   return {.status = StoreStatus::kOk, .rows = *std::move(rows), .revision = 0};
 }
 
 StoreReply ParseCommitReply(const HttpResponse& response) {
-  const auto json = nlohmann::json::parse(response.body, nullptr, false);
+  const auto json = ParseJson(response.body);
   if (response.status == kStatusUnavailable) {
     return WithStatus(StoreStatus::kUnavailable);
   }
--- a/Source/Standalone/table_server.cc
+++ b/Source/Standalone/table_server.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Http/json_response.h"
+#include "Model/json.h"
 
 namespace hyssopbarrow {
 namespace {
@@ -43,7 +44,7 @@
 
 void TableServer::Commit(const HttpRequest& request,
                          const Responder& responder) {
-  const auto json = nlohmann::json::parse(request.body, nullptr, false);
+  const auto json = ParseJson(request.body);
   absl::StatusOr<Transaction> transaction = ParseTransaction(json);
   if (!transaction.ok()) {
     return responder.Send(
@@ -61,7 +62,7 @@
 }
 
 HttpResponse TableServer::SetFaults(const HttpRequest& request) {
-  const auto json = nlohmann::json::parse(request.body, nullptr, false);
+  const auto json = ParseJson(request.body);
   if (!json.is_object()) return ErrorResponse(400, "expected an object");
   faults_.down = json.value("down", false);
   faults_.lose_replies = json.value("lose_replies", false);
--- a/Tests/Model/cbor_test.cc
+++ b/Tests/Model/cbor_test.cc
@@ -6,6 +6,10 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <string_view>
+#include <utility>
+
+#include "Model/json.h"
 
 namespace hyssopbarrow {
 namespace {
@@ -103,5 +107,62 @@
   }
 }
 
+/// Value with `levels` lists around a number.
+json NestedLists(std::size_t levels) {
+  json value = 1;
+  for (; levels > 0; --levels) value = json::array({std::move(value)});
+  return value;
+}
+
+// Guards against a limit that refuses what other entry hosts may send.
+TEST_CASE("values up to the limit of nesting are decoded") {
+  for (std::size_t levels = 0; levels <= kMaxNesting; ++levels) {
+    const json value = NestedLists(levels);
+    CHECK(ParseCbor(ToCbor(value)) == value);
+    CHECK(ParseJson(value.dump()) == value);
+  }
+  // Brackets in text are no levels.
+  const json text = {{"a", std::string(1000, '[') + "\"{\\\"["}};
+  CHECK(ParseJson(text.dump()) == text);
+  CHECK(ParseCbor(ToCbor(text)) == text);
+  // Nor are lists beside each other.
+  const json wide = json::array_t(1000, json::array({json::object()}));
+  CHECK(ParseJson(wide.dump()) == wide);
+  CHECK(ParseCbor(ToCbor(wide)) == wide);
+}
+
+// Guards against decoders whose recursion exceeds the stack.
+TEST_CASE("values beyond the limit of nesting are not decoded") {
+  for (const std::size_t levels : {kMaxNesting + 1, kMaxNesting + 2}) {
+    CHECK(ParseCbor(ToCbor(NestedLists(levels))).is_null());
+    CHECK(ParseJson(NestedLists(levels).dump()).is_discarded());
+  }
+  for (const std::string_view open : {"\x81", "\x9f", "\xa1\x01",
+                                      "\xbf\x61"
+                                      "a",
+                                      "\xc1", "\x5f", "\x7f"}) {
+    std::string bytes;
+    while (bytes.size() < 4UL << 20) bytes += open;
+    CHECK(ParseCbor(bytes).is_null());
+  }
+}
+
+TEST_CASE(
+    "items of indefinite length are decoded as those of definite length") {
+  const std::string bytes(
+      "\xbf\x61"
+      "a\x9f\x01\x82\x02\x03\xff\x61"
+      "b\x7f\x61"
+      "c\x61"
+      "d\xff\xff",
+      18);
+  CHECK(ParseCbor(bytes) == json{{"a", {1, {2, 3}}}, {"b", "cd"}});
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    CHECK(ParseCbor(bytes.substr(0, n)).is_null());
+  }
+  CHECK(ParseCbor("\xff").is_null());
+  CHECK(ParseCbor("\x81\xff").is_null());
+}
+
 }  // namespace
 }  // namespace hyssopbarrow
--- a/Tests/Peer/codec_test.cc
+++ b/Tests/Peer/codec_test.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "Peer/greeting.h"
+
 namespace hyssopbarrow {
 namespace {
 
@@ -81,5 +83,18 @@
   }
 }
 
+// Guards against a process that ends because a message is nested so deeply that
+// its decoder exceeds the stack.
+TEST_CASE("A message or a greeting that is nested too deeply is an error") {
+  constexpr std::size_t kMessageBytes = 4UL << 20;
+  for (const char first : {'\x81', '\x9f', '\xa1', '\xbf', '\xc1', '\x7f'}) {
+    const std::string deep(kMessageBytes, first);
+    CHECK_FALSE(DecodeMessage(deep).ok());
+    CHECK_FALSE(DecodeMessage("\x82\x07" + deep).ok());
+    CHECK_FALSE(DecodeGreeting(deep).ok());
+    CHECK_FALSE(DecodeGreeting("\x87\x01" + deep).ok());
+  }
+}
+
 }  // namespace
 }  // namespace hyssopbarrow
--- /dev/null
+++ b/Tests/Platform/odd_entries_test.cc
@@ -0,0 +1,130 @@
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Model/cbor.h"
+#include "Model/text.h"
+#include "absl/strings/escaping.h"
+#include "callers.h"
+#include "fleet_wire.h"
+#include "job_wire.h"
+#include "store_wire.h"
+#include "target_wire.h"
+
+namespace hyssopbarrow::platform {
+namespace {
+
+using fleet::Table;
+using nlohmann::json;
+
+/// Most bytes of the value of a row.
+constexpr std::size_t kMaxRowBytes = 65'536;
+/// Most bytes of the message of a peer.
+constexpr std::size_t kMaxMessageBytes = 4UL << 20;
+
+const std::string kGoodTarget =
+    R"({"Service":"desk","Address":"10.0.0.9:80","State":"ready","born":5,)"
+    R"("Capacity":{"Cpu":64000,"MemMb":9,"Gpu":1}})";
+
+std::string Repeat(std::string_view text, std::size_t n) {
+  std::string out;
+  for (; n > 0; --n) out += text;
+  return out;
+}
+
+/// Values of `bytes` bytes with as many levels as fit.
+std::vector<std::string> DeepValues(std::size_t bytes) {
+  const std::size_t lists = bytes / 2;
+  const std::size_t objects = bytes / 6;
+  const std::size_t maps = bytes / 3 - 1;
+  return {Repeat("[", lists) + Repeat("]", lists),
+          Repeat("[", bytes),
+          Repeat(R"({"a":)", objects) + "1" + Repeat("}", objects),
+          R"({"State":"ready","Service":)" + Repeat("[", lists - 20) +
+              Repeat("]", lists - 20) + "}",
+          "\xa1\x61"
+          "a" +
+              std::string(bytes - 4, '\x81') + "\x01",
+          "\xa1\x61"
+          "a" +
+              std::string(bytes - 4, '\x9f') + "\x01",
+          Repeat("\xa1\x61"
+                 "a",
+                 maps) +
+              "\x01",
+          Repeat("\xbf\x61"
+                 "a",
+                 maps) +
+              "\x01",
+          "\xa1\x61"
+          "a" +
+              std::string(bytes - 3, '\x7f')};
+}
+
+HttpResponse MakeResponse(int status, const std::string& body) {
+  return {.status = status, .headers = {}, .body = body};
+}
+
+json StoreRow(const std::string& key, const std::string& value) {
+  std::string base64;
+  absl::Base64Escape(value, &base64);
+  return {{"Key", key}, {"Value", base64}, {"Ver", 3}};
+}
+
+fleet::StoreRows Decode(Table table, std::vector<json> rows) {
+  const json body = {{"rows", std::move(rows)}, {"Ver", 9}};
+  return DecodeRows(table, MakeResponse(200, body.dump()), 500);
+}
+
+fleet::StoreRows DecodeValues(Table table, const std::string& odd) {
+  return Decode(table, {StoreRow("a", kGoodTarget), StoreRow("b", odd),
+                        StoreRow("c", kGoodTarget)});
+}
+
+// Guards against a process that ends because one entry is nested so deeply that
+// its decoder, its copy or its text exceeds the stack.
+TEST_CASE("an entry that is nested too deeply is an error") {
+  const Table table =
+      GENERATE(Table::kTargets, Table::kOwner, Table::kJobs, Table::kProgress);
+  for (const std::string& value : DeepValues(kMaxRowBytes)) {
+    CAPTURE(static_cast<int>(table), value.substr(0, 40));
+    const fleet::StoreRows rows = DecodeValues(table, value);
+    CHECK(rows.status == StoreStatus::kOk);
+    CHECK(rows.errors.size() == 1);
+    CHECK(rows.targets.size() == (table == Table::kTargets ? 2 : 0));
+    CHECK(rows.rows.size() == (table == Table::kTargets ? 0 : 2));
+    CHECK(rows.last_key == "c");
+  }
+}
+
+// Guards against the same fault of the replies of targets, of the host provider
+// and of approvals, and of the jobs of callers.
+TEST_CASE("a body that is nested too deeply is invalid") {
+  for (const std::string& body : DeepValues(kMaxMessageBytes)) {
+    CAPTURE(body.substr(0, 40));
+    const absl::Status job = DecodeJob(body).status();
+    CHECK_FALSE(job.ok());
+    CHECK(job.message().find("JSON") != std::string::npos);
+    fleet::HostList hosts;
+    CHECK_FALSE(DecodeHosts(body, hosts).ok());
+    CHECK(DecodeTargetReply(MakeResponse(200, body)).runs.empty());
+    CHECK_FALSE(DecodeApprovalReply(MakeResponse(200, body)).answered);
+    CHECK(DecodeHostRequestResult(MakeResponse(409, body)) ==
+          fleet::HostRequestResult::kBusy);
+    const auto rows = DecodeRows(Table::kJobs, MakeResponse(200, body), 500);
+    CHECK(rows.status == StoreStatus::kUnknown);
+  }
+  const std::size_t levels = kMaxMessageBytes / 4;
+  fleet::HostList hosts;
+  CHECK_FALSE(DecodeHosts(R"({"Machines":[],"NextToken":)" +
+                              Repeat("[", levels) + Repeat("]", levels) + "}",
+                          hosts)
+                  .ok());
+}
+
+}  // namespace
+}  // namespace hyssopbarrow::platform
