Wire: Encode requests whatever bytes their text has

A row in CBOR may have text that is not UTF-8, as may a message of a relay. nlohmann's dump throws type_error 316 for such text, and nothing catches it, so that the process ended when it passed the payload or the checkpoint of such a job on to a target.

Text in CBOR rows and peers' messages must now be UTF-8, as RFC 8949 requires; others are unreadable.

--- a/Source/Daemon/caller_api.cc
+++ b/Source/Daemon/caller_api.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -122,7 +123,7 @@
                   {"x-outcome", std::string(ToString(outcome))},
                   {"x-reason", std::string(ToString(reason))},
                   {"x-request-id", request_id}},
-      .body = body.dump()};
+      .body = FormatJson(body)};
   if (response.status == 429 || response.status == 503) {
     response.headers.push_back({"retry-after", "1"});
   }
@@ -169,8 +170,7 @@
   return {.status = absl::IsNotFound(status) ? 404 : 400,
           .headers = {{"content-type", "application/json"},
                       {"x-outcome", std::string(ToString(Outcome::kNotRun))}},
-          .body = body.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace)};
+          .body = FormatJson(body)};
 }
 
 }  // namespace hyssopbarrow
--- a/Source/Model/cbor.cc
+++ b/Source/Model/cbor.cc
@@ -60,6 +60,39 @@
   return head;
 }
 
+/// Size of the UTF-8 character at the start of `text`; 0 if there is none.
+std::size_t CharacterSize(std::string_view text) {
+  const auto byte = [text](std::size_t n) -> unsigned {
+    return n < text.size() ? static_cast<unsigned char>(text[n]) : 0;
+  };
+  const auto continues = [&](std::size_t n) {
+    return (byte(n) & 0xc0) == 0x80;
+  };
+  const unsigned first = byte(0);
+  const unsigned second = byte(1);
+  if (first < 0x80) return text.empty() ? 0 : 1;
+  if (first >= 0xc2 && first <= 0xdf) return continues(1) ? 2 : 0;
+  if (!continues(1) || !continues(2)) return 0;
+  if ((first & 0xf0) == 0xe0) {
+    const bool overlong = first == 0xe0 && second < 0xa0;
+    const bool surrogate = first == 0xed && second >= 0xa0;
+    return overlong || surrogate ? 0 : 3;
+  }
+  const bool in_range = (first == 0xf0 && second >= 0x90) ||
+                        (first >= 0xf1 && first <= 0xf3) ||
+                        (first == 0xf4 && second < 0x90);
+  return in_range && continues(3) ? 4 : 0;
+}
+
+bool IsUtf8(std::string_view text) {
+  while (!text.empty()) {
+    const std::size_t n = CharacterSize(text);
+    if (n == 0) return false;
+    text.remove_prefix(n);
+  }
+  return true;
+}
+
 /// True if an item of indefinite length starts here.
 bool StartsIndefinite(std::string_view bytes) {
   if (bytes.empty()) return false;
@@ -69,8 +102,8 @@
          type <= CborType::kMap;
 }
 
-/// True if `bytes` are items that end with them and are nested at most
-/// kMaxNesting deep.
+/// True if `bytes` are items that end with them, have text in UTF-8 and are
+/// nested at most kMaxNesting deep.
 bool IsDecodable(std::string_view bytes) {
   constexpr std::uint64_t kUntilBreak =
       std::numeric_limits<std::uint64_t>::max();
@@ -103,6 +136,8 @@
       case CborType::kText: {
         if (head->argument > bytes.size()) return false;
         const auto size = static_cast<std::size_t>(head->argument);
+        const bool text = head->type == CborType::kText;
+        if (text && !IsUtf8(bytes.substr(0, size))) return false;
         bytes.remove_prefix(size);
         break;
       }
--- a/Source/Model/cbor.h
+++ b/Source/Model/cbor.h
@@ -12,8 +12,8 @@
 
 std::string ToCbor(const nlohmann::json& value);
 
-/// Returns null for invalid CBOR and for items that are nested deeper than
-/// kMaxNesting.
+/// Returns null for invalid CBOR, for text that is not UTF-8, and for items
+/// that are nested deeper than kMaxNesting.
 nlohmann::json ParseCbor(std::string_view bytes);
 
 /// Reads CBOR items in order without building a tree of values. A read that
@@ -28,6 +28,7 @@
   std::optional<std::size_t> List();
   std::optional<std::int64_t> Integer();
   std::optional<bool> Flag();
+  /// The bytes need not be UTF-8.
   std::optional<std::string_view> Text();
   /// Returns true if a null was read.
   bool Null();
--- a/Source/Model/json.cc
+++ b/Source/Model/json.cc
@@ -33,4 +33,8 @@
   return nlohmann::json::parse(text, nullptr, false);
 }
 
+std::string FormatJson(const nlohmann::json& value) {
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 }  // namespace hyssopbarrow
--- a/Source/Model/json.h
+++ b/Source/Model/json.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 namespace hyssopbarrow {
@@ -16,6 +17,10 @@
 /// kMaxNesting.
 nlohmann::json ParseJson(std::string_view text);
 
+/// Formats a value on one line. Text that is not UTF-8 is replaced, where
+/// `dump` alone throws.
+std::string FormatJson(const nlohmann::json& value);
+
 }  // namespace hyssopbarrow
 
 #endif  // HYSSOPBARROW_MODEL_JSON_H_
--- a/Source/Platform/table_client.cc
+++ b/Source/Platform/table_client.cc
@@ -66,11 +66,12 @@
 
 void TableClient::Commit(const Transaction& transaction, Instant deadline,
                          StoreCallback callback) {
-  const ClientRequest request{.address = address_,
-                              .request = {.method = "POST",
-                                          .path = "/transactions",
-                                          .body = ToJson(transaction).dump()},
-                              .deadline = deadline};
+  const ClientRequest request{
+      .address = address_,
+      .request = {.method = "POST",
+                  .path = "/transactions",
+                  .body = FormatJson(ToJson(transaction))},
+      .deadline = deadline};
   client_.Send(request,
                [callback = std::move(callback)](TransferResult result,
                                                 const HttpResponse& response) {
--- a/Tests/Peer/codec_test.cc
+++ b/Tests/Peer/codec_test.cc
@@ -96,5 +96,13 @@
   }
 }
 
+// Guards against a process that ends when it forwards text that is no UTF-8.
+TEST_CASE("A message with text that is not UTF-8 is an error") {
+  CHECK_FALSE(DecodeMessage(ToCbor({0, "\xff", 12, true, false, 0})).ok());
+  CHECK_FALSE(
+      DecodeMessage(EncodeMessage(SnapshotReply{{{"a", {{"b", "\x80"}}, 5}}}))
+          .ok());
+}
+
 }  // namespace
 }  // namespace hyssopbarrow
--- a/Tests/Platform/odd_entries_test.cc
+++ b/Tests/Platform/odd_entries_test.cc
@@ -126,5 +126,43 @@
                   .ok());
 }
 
+// Guards against a process that ends when it forwards text in CBOR that is no
+// UTF-8, which nlohmann's dump does not accept.
+TEST_CASE("an entry in CBOR with text that is not UTF-8 is an error") {
+  for (const std::string text :
+       {"\xff", "a\x80", "\xc0\xaf", "\xe2\x82", "\xed\xa0\x80", "\xf0\x9f\x92",
+        "\xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80"}) {
+    CAPTURE(absl::BytesToHexString(text));
+    const std::vector<json> values = {
+        {{"payload", text}}, {{text, 1}}, {{"steps", {{{"image", text}}}}}};
+    for (const json& value : values) {
+      const fleet::StoreRows rows = DecodeValues(Table::kJobs, ToCbor(value));
+      CHECK(rows.errors.size() == 1);
+      CHECK(rows.rows.size() == 2);
+    }
+  }
+  const json fine = {{"payload", "K\xc3\xa4se \xe2\x82\xac \xf0\x9f\x92\xa1"}};
+  const fleet::StoreRows rows = DecodeValues(Table::kJobs, ToCbor(fine));
+  REQUIRE(rows.rows.size() == 3);
+  CHECK(rows.rows[1].value == fine);
+}
+
+// Guards against a process that ends at a request whose text is no UTF-8.
+TEST_CASE("requests are encoded whatever bytes their text has") {
+  const std::string text = "\xff\xfe";
+  const fleet::TargetRequest start{.kind = fleet::TargetRequestKind::kStart,
+                                   .task = {text, 0, 0, 0},
+                                   .payload = text,
+                                   .checkpoint = text,
+                                   .ticket = text};
+  CHECK_NOTHROW(EncodeTargetRequest(start));
+  CHECK_NOTHROW(
+      EncodeApprovalRequest({.step = text, .targets = {text, "i-1"}}));
+  CHECK_NOTHROW(EncodeHostRequest({.host = text, .pool = text}));
+  CHECK_NOTHROW(EncodeHostRequest({.host = text}));
+  CHECK_NOTHROW(EncodeCommit(
+      {.writes = {{{Table::kJobs, text}, {{"payload", text}}}}}, 1));
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::platform
