Policy: Read rows with fields of any type

An odd row in the table of the ownership ended every host that read it: `value("epoch", 0)` throws type_error 302 if the field is there with another type, and nothing catches it. If the row was no object or unreadable, it was passed over with its revision, so that all later claims failed and the fleet had no owner again.

Fields that have another type now have their default value, read by one set of functions in Model/json.h. The revision of any row of the ownership counts, and a host that sees no renewal replaces the row by a claim. The epoch that is counted on from never decreases, and has a limit, so that fencing tokens stay valid. Integers past 64 bits are no integers, where `get` wrapped them around. The same functions replace the copies in claim rows, registration and the store of the configuration; the last has no test of its own.

--- a/Source/Daemon/config_store.cc
+++ b/Source/Daemon/config_store.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/snapshot.h"
 #include "Model/text.h"
 
@@ -26,8 +27,7 @@
 }
 
 std::int64_t SnapshotRevision(const Row* row) {
-  if (row == nullptr || !row->value.is_object()) return 0;
-  return row->value.value("number", std::int64_t{0});
+  return row == nullptr ? 0 : IntegerOrZero(row->value, "number");
 }
 
 /// Returns the snapshot revision that committed `write_id`, or 0 if it is not
@@ -36,8 +36,8 @@
                                    const std::string& write_id) {
   if (row == nullptr || !row->value.contains("recent")) return 0;
   for (const nlohmann::json& write : row->value["recent"]) {
-    if (write.value("id", "") == write_id) {
-      return write.value("number", std::int64_t{0});
+    if (TextOrEmpty(write, "id") == write_id) {
+      return IntegerOrZero(write, "number");
     }
   }
   return 0;
--- a/Source/Model/json.cc
+++ b/Source/Model/json.cc
@@ -24,6 +24,12 @@
   return false;
 }
 
+const nlohmann::json* FindField(const nlohmann::json& row, const char* name) {
+  if (!row.is_object()) return nullptr;
+  const auto it = row.find(name);
+  return it == row.end() ? nullptr : &*it;
+}
+
 }  // namespace
 
 nlohmann::json ParseJson(std::string_view text) {
@@ -37,4 +43,28 @@
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::optional<std::int64_t> AsInteger(const nlohmann::json& value) {
+  if (!value.is_number_integer()) return std::nullopt;
+  const bool too_large = value.is_number_unsigned() &&
+                         value.get<std::uint64_t>() > std::uint64_t{INT64_MAX};
+  if (too_large) return std::nullopt;
+  return value.get<std::int64_t>();
+}
+
+std::int64_t IntegerOrZero(const nlohmann::json& row, const char* name) {
+  const nlohmann::json* value = FindField(row, name);
+  return value == nullptr ? 0 : AsInteger(*value).value_or(0);
+}
+
+std::string TextOrEmpty(const nlohmann::json& row, const char* name) {
+  const nlohmann::json* value = FindField(row, name);
+  const bool found = value != nullptr && value->is_string();
+  return found ? value->get<std::string>() : std::string();
+}
+
+bool FlagOrFalse(const nlohmann::json& row, const char* name) {
+  const nlohmann::json* value = FindField(row, name);
+  return value != nullptr && value->is_boolean() && value->get<bool>();
+}
+
 }  // namespace hyssopbarrow
--- a/Source/Model/json.h
+++ b/Source/Model/json.h
@@ -2,7 +2,9 @@
 #define HYSSOPBARROW_MODEL_JSON_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +23,17 @@
 /// `dump` alone throws.
 std::string FormatJson(const nlohmann::json& value);
 
+/// Returns the number if `value` is an integer of 64 bits with a sign. `get`
+/// wraps larger ones around.
+std::optional<std::int64_t> AsInteger(const nlohmann::json& value);
+
+// Fields of rows that are read as far as they can be: a field that is absent or
+// has another type gives the default value.
+
+std::int64_t IntegerOrZero(const nlohmann::json& row, const char* name);
+std::string TextOrEmpty(const nlohmann::json& row, const char* name);
+bool FlagOrFalse(const nlohmann::json& row, const char* name);
+
 }  // namespace hyssopbarrow
 
 #endif  // HYSSOPBARROW_MODEL_JSON_H_
--- a/Source/Policy/candidacy.cc
+++ b/Source/Policy/candidacy.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string_view>
 
+#include "Model/json.h"
 #include "Model/text.h"
 #include "Policy/store_keys.h"
 
@@ -21,6 +22,8 @@
 /// 0.5 s.
 constexpr Duration kCandidacyWriteInterval = milliseconds(5000);
 constexpr Duration kCandidacyRetryDelay = milliseconds(1000);
+/// Limits the thousandths of a core and the Mbit/s that a host announces.
+constexpr std::int64_t kMaxHostResource = 1'000'000'000;
 constexpr const char* kCpuField = "cpu_milli";
 constexpr const char* kLinkField = "link_mbps";
 constexpr const char* kRelayField = "relay_address";
@@ -30,18 +33,10 @@
   return holder.substr(0, holder.find('@'));
 }
 
-/// Value of a number field; 0 if it is missing or no integer.
-std::int64_t IntegerField(const nlohmann::json& row, const char* name) {
-  const auto it = row.find(name);
-  return it != row.end() && it->is_number_integer() ? it->get<std::int64_t>()
-                                                    : 0;
-}
-
-/// Value of a text field; empty if it is missing or no text.
-std::string TextField(const nlohmann::json& row, const char* name) {
-  const auto it = row.find(name);
-  return it != row.end() && it->is_string() ? it->get<std::string>()
-                                            : std::string();
+/// Value of a number field; 0 if no host has so much.
+std::int64_t ResourceField(const nlohmann::json& row, const char* name) {
+  const std::int64_t n = IntegerOrZero(row, name);
+  return n >= 0 && n <= kMaxHostResource ? n : 0;
 }
 
 std::int64_t CandidateCpuMilli(const EntryState& entry,
@@ -61,11 +56,12 @@
 bool ApplyCandidateRow(EntryState& entry, const Row& row) {
   std::string_view node = row.key;
   if (!ConsumePrefix(node, kCandidatePrefix)) return false;
+  if (!row.value.is_object()) return true;
   entry.ownership.candidates[std::string(node)] = {
-      .cpu_milli = IntegerField(row.value, kCpuField),
-      .link_mbps = IntegerField(row.value, kLinkField),
-      .relay_address = TextField(row.value, kRelayField),
-      .data_centre = TextField(row.value, kDataCentreField),
+      .cpu_milli = ResourceField(row.value, kCpuField),
+      .link_mbps = ResourceField(row.value, kLinkField),
+      .relay_address = TextOrEmpty(row.value, kRelayField),
+      .data_centre = TextOrEmpty(row.value, kDataCentreField),
       .revision = row.revision};
   return true;
 }
--- a/Source/Policy/claim_row.cc
+++ b/Source/Policy/claim_row.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/snapshot.h"
 #include "Model/text.h"
 #include "absl/strings/escaping.h"
@@ -36,24 +37,12 @@
   return absl::Base64Escape({bytes.data(), bytes.size()});
 }
 
-std::string StringField(const nlohmann::json& json, const char* field) {
-  auto it = json.find(field);
-  const bool found = it != json.end() && it->is_string();
-  return found ? it->get<std::string>() : std::string();
-}
-
-std::int64_t IntegerField(const nlohmann::json& json, const char* field) {
-  auto it = json.find(field);
-  const bool found = it != json.end() && it->is_number_integer();
-  return found ? it->get<std::int64_t>() : 0;
-}
-
 std::optional<RecordedAnswer> ParseAnswer(const nlohmann::json& json) {
   RecordedAnswer answer;
-  answer.status = static_cast<int>(IntegerField(json, "status"));
+  answer.status = static_cast<int>(IntegerOrZero(json, "status"));
   const bool decoded =
-      absl::Base64Unescape(StringField(json, "type"), &answer.content_type) &&
-      absl::Base64Unescape(StringField(json, "body"), &answer.body);
+      absl::Base64Unescape(TextOrEmpty(json, "type"), &answer.content_type) &&
+      absl::Base64Unescape(TextOrEmpty(json, "body"), &answer.body);
   if (!decoded || answer.status == 0) return std::nullopt;
   return answer;
 }
@@ -82,9 +71,9 @@
 ClaimRow ParseClaimRow(const nlohmann::json& value) {
   ClaimRow row;
   if (!value.is_object()) return row;
-  row.state = StateOf(StringField(value, "state"));
-  row.nonce = StringField(value, "nonce");
-  row.period = IntegerField(value, "period");
+  row.state = StateOf(TextOrEmpty(value, "state"));
+  row.nonce = TextOrEmpty(value, "nonce");
+  row.period = IntegerOrZero(value, "period");
   if (value.contains("answer")) row.answer = ParseAnswer(value["answer"]);
   return row;
 }
--- a/Source/Policy/configuration.cc
+++ b/Source/Policy/configuration.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "Model/json.h"
 #include "absl/status/statusor.h"
 
 namespace hyssopbarrow {
@@ -34,10 +35,7 @@
 std::int64_t StoredRevision(const std::vector<Row>& rows) {
   for (const Row& row : rows) {
     if (row.key != kConfigRevisionKey || !row.value.is_object()) continue;
-    auto number = row.value.find("number");
-    const bool is_valid =
-        number != row.value.end() && number->is_number_integer();
-    if (is_valid) return number->get<std::int64_t>();
+    return IntegerOrZero(row.value, "number");
   }
   return 0;
 }
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -2,6 +2,7 @@
 #include <utility>
 #include <vector>
 
+#include "Model/json.h"
 #include "Model/text.h"
 #include "Policy/entry_internal.h"
 #include "Policy/store_keys.h"
@@ -415,7 +416,7 @@
     JobState state = JobState::kPending;
     for (const Row& row : reply.rows) {
       if (row.key != call.job || !row.value.is_object()) continue;
-      state = ParseJobState(row.value.value("state", std::string()))
+      state = ParseJobState(TextOrEmpty(row.value, "state"))
                   .value_or(JobState::kPending);
     }
     if (call.cancelled && !IsFinal(state)) state = JobState::kCancelled;
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -1,6 +1,8 @@
 #include <string_view>
 #include <utility>
 
+#include "Model/json.h"
+#include "Model/limits.h"
 #include "Policy/candidacy.h"
 #include "Policy/entry_internal.h"
 #include "Policy/owner_runs.h"
@@ -246,12 +248,15 @@
   ownership.loaded = true;
   ownership.last_store_reply_at = now;
   for (const Row& row : reply.rows) {
-    if (!row.value.is_object()) continue;
-    if (ApplyCandidateRow(entry, row)) continue;
+    if (row.value.is_null() || ApplyCandidateRow(entry, row)) continue;
     if (row.key == kEpochKey && row.revision > ownership.epoch_revision) {
-      ownership.epoch = row.value.value("epoch", std::int64_t{0});
+      const std::int64_t epoch = IntegerOrZero(row.value, "epoch");
+      // Targets refuse fencing tokens lower than the highest they have seen.
+      if (epoch <= kMaxEpoch) {
+        ownership.epoch = std::max(ownership.epoch, epoch);
+      }
       ownership.epoch_revision = row.revision;
-      ownership.holder = row.value.value("holder", std::string());
+      ownership.holder = TextOrEmpty(row.value, "holder");
       const bool replaced = entry.owner.has_value() &&
                             entry.owner->epoch_revision != row.revision;
       if (replaced) {
@@ -267,8 +272,8 @@
     }
     if (row.key == kLeaseKey && row.revision > ownership.lease_revision) {
       ownership.lease_revision = row.revision;
-      ownership.address = row.value.value("address", std::string());
-      ownership.released = row.value.value("released", false);
+      ownership.address = TextOrEmpty(row.value, "address");
+      ownership.released = FlagOrFalse(row.value, "released");
       changed = true;
     }
   }
--- a/Source/Policy/registration.cc
+++ b/Source/Policy/registration.cc
@@ -1,8 +1,10 @@
 #include "Policy/registration.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
+#include "Model/json.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow {
@@ -22,26 +24,11 @@
           {"incarnation", state.self.incarnation}};
 }
 
-std::string RowStringField(const Row& row, const char* field) {
-  if (!row.value.is_object()) return {};
-  auto it = row.value.find(field);
-  return it != row.value.end() && it->is_string() ? it->get<std::string>()
-                                                  : std::string();
-}
-
-std::int64_t RowIncarnation(const Row& row) {
-  if (!row.value.is_object()) return 0;
-  auto it = row.value.find("incarnation");
-  return it != row.value.end() && it->is_number_integer()
-             ? it->get<std::int64_t>()
-             : 0;
-}
-
 MemberEntry ParseMemberRow(const Row& row) {
   return {.name = row.key.substr(kMembersPrefix.size()),
-          .data_centre = RowStringField(row, "data_centre"),
-          .address = RowStringField(row, "address"),
-          .incarnation = RowIncarnation(row)};
+          .data_centre = TextOrEmpty(row.value, "data_centre"),
+          .address = TextOrEmpty(row.value, "address"),
+          .incarnation = IntegerOrZero(row.value, "incarnation")};
 }
 
 /// Removes members that are not live and have no row in `rows`.
@@ -72,7 +59,7 @@
   for (const Row& row : rows) {
     const bool is_replaced =
         row.key != OwnRowKey(state) &&
-        RowStringField(row, "address") == state.self.address;
+        TextOrEmpty(row.value, "address") == state.self.address;
     if (!is_replaced) continue;
     transaction.conditions.push_back({row.key, row.revision});
     transaction.writes.push_back({row.key, nullptr});
@@ -87,7 +74,7 @@
                               [&](const Row& row) { return row.key == key; });
   const std::int64_t revision = own_row == rows.end() ? 0 : own_row->revision;
   const std::int64_t stored_incarnation =
-      own_row == rows.end() ? 0 : RowIncarnation(*own_row);
+      own_row == rows.end() ? 0 : IntegerOrZero(own_row->value, "incarnation");
   registration.superseded = stored_incarnation > state.self.incarnation;
   if (registration.superseded) return;
   Transaction transaction{.conditions = {{key, revision}}, .writes = {}};
@@ -150,7 +137,11 @@
   std::int64_t incarnation = clock;
   for (const Row& row : rows) {
     if (row.key != StrCat(kMembersPrefix, name)) continue;
-    incarnation = std::max(incarnation, RowIncarnation(row) + 1);
+    // The largest integer has none after it.
+    const std::int64_t stored =
+        std::min(IntegerOrZero(row.value, "incarnation"),
+                 std::numeric_limits<std::int64_t>::max() - 1);
+    incarnation = std::max(incarnation, stored + 1);
   }
   return incarnation;
 }
--- a/Source/Standalone/table_server.cc
+++ b/Source/Standalone/table_server.cc
@@ -64,8 +64,8 @@
 HttpResponse TableServer::SetFaults(const HttpRequest& request) {
   const auto json = ParseJson(request.body);
   if (!json.is_object()) return ErrorResponse(400, "expected an object");
-  faults_.down = json.value("down", false);
-  faults_.lose_replies = json.value("lose_replies", false);
+  faults_.down = FlagOrFalse(json, "down");
+  faults_.lose_replies = FlagOrFalse(json, "lose_replies");
   return JsonResponse(
       200, {{"down", faults_.down}, {"lose_replies", faults_.lose_replies}});
 }
--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -1,11 +1,198 @@
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "Fleet/job_api.h"
+#include "Fleet/owner_fixture.h"
+#include "Fleet/relay_codec.h"
+#include "Model/cbor.h"
+#include "Model/text.h"
+#include "Policy/entry_internal.h"
+#include "Policy/job_table.h"
+#include "Policy/placement.h"
+#include "Policy/registration.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
 
+using nlohmann::json;
+using std::chrono::seconds;
+
+constexpr std::int64_t kMaxInt64 = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t kMinInt64 = std::numeric_limits<std::int64_t>::min();
+constexpr char kId[] = "00000000000000a1";
+
+/// Values of every type, and numbers that no count or time has.
+std::vector<json> OddValues() {
+  return {nullptr,
+          true,
+          "text",
+          -1,
+          kMaxInt64,
+          kMinInt64,
+          std::numeric_limits<std::uint64_t>::max(),
+          1e300,
+          -1e300,
+          std::numeric_limits<double>::quiet_NaN(),
+          json::array(),
+          json::array({json::array({1, 2, 3})}),
+          json::object(),
+          {{"a", {1}}}};
+}
+
+/// An entry host that has read the rows of the ownership.
+struct OwnershipFixture : ContextFixture {
+  EntryState entry;
+
+  OwnershipFixture() {
+    entry.self = {.node = "n-1", .holder = "n-1@1", .address = "10.0.0.1:80"};
+  }
+
+  void Apply(const std::string& key, const json& value, std::int64_t revision) {
+    Context context = MakeContext();
+    ApplyOwnershipRows(
+        entry,
+        {.status = StoreStatus::kOk,
+         .rows = {{.key = key, .value = value, .revision = revision}}},
+        true, context);
+  }
+
+  /// Claims sent after the lease of any owner has expired.
+  std::vector<CommitRows> ClaimsAfterExpiry() {
+    now += seconds(5);
+    entry.ownership.last_store_reply_at = now;
+    out.clear();
+    Context context = MakeContext();
+    AdvanceOwnership(entry, context);
+    std::vector<CommitRows> claims;
+    for (const Effect& effect : out) {
+      const auto* commit = std::get_if<CommitRows>(&effect);
+      if (commit != nullptr && commit->conditions.size() == 2) {
+        claims.push_back(*commit);
+      }
+    }
+    return claims;
+  }
+};
+
+// Guards against hosts that end at each start, or find no owner again, because
+// of one odd row among those of the ownership.
+TEST_CASE("a host claims the ownership after any row of the epoch") {
+  const char* field = GENERATE("epoch", "holder");
+  for (const json& value : OddValues()) {
+    CAPTURE(field, value.dump());
+    OwnershipFixture host;
+    host.Apply("epoch", {{"epoch", 7}, {"holder", "n-2@1"}}, 3);
+    json row = {{"epoch", 8}, {"holder", "n-3@1"}};
+    row[field] = value;
+    CHECK_NOTHROW(host.Apply("epoch", row, 4));
+    const std::vector<CommitRows> claims = host.ClaimsAfterExpiry();
+    REQUIRE(claims.size() == 1);
+    // The claim replaces the row that was read, and tokens never decrease.
+    CHECK(claims[0].conditions[0].second == 4);
+    const json& claimed = claims[0].writes[0].second;
+    CHECK(claimed["epoch"].get<std::int64_t>() >= 8);
+  }
+}
+
+// Guards against the same fault of rows that are no objects.
+TEST_CASE("a host claims the ownership after a row that is no object") {
+  for (const json& value : OddValues()) {
+    if (value.is_null()) continue;  // A row that was removed.
+    CAPTURE(value.dump());
+    OwnershipFixture host;
+    host.Apply("epoch", {{"epoch", 7}, {"holder", "n-2@1"}}, 3);
+    host.Apply("lease", {{"address", "10.0.0.2:80"}}, 3);
+    CHECK_NOTHROW(host.Apply("epoch", value, 4));
+    CHECK_NOTHROW(host.Apply("lease", value, 5));
+    const std::vector<CommitRows> claims = host.ClaimsAfterExpiry();
+    REQUIRE(claims.size() == 1);
+    CHECK(claims[0].conditions[0].second == 4);
+    CHECK(claims[0].conditions[1].second == 5);
+  }
+}
+
+// Guards against the same fault of the row of the lease.
+TEST_CASE("a host claims the ownership after any row of the lease") {
+  const char* field = GENERATE("address", "released", "renewals");
+  for (const json& value : OddValues()) {
+    CAPTURE(field, value.dump());
+    OwnershipFixture host;
+    host.Apply("epoch", {{"epoch", 7}, {"holder", "n-2@1"}}, 3);
+    json row = {{"address", "10.0.0.2:80"}, {"released", false}};
+    row[field] = value;
+    CHECK_NOTHROW(host.Apply("lease", row, 5));
+    const std::vector<CommitRows> claims = host.ClaimsAfterExpiry();
+    REQUIRE(claims.size() == 1);
+    CHECK(claims[0].conditions[1].second == 5);
+  }
+}
+
+// Guards against sums that overflow in the choice of relays.
+TEST_CASE("a candidate with odd numbers is no stronger host") {
+  for (const char* field : {"cpu_milli", "link_mbps", "relay_address"}) {
+    for (const json& value : OddValues()) {
+      CAPTURE(field, value.dump());
+      OwnershipFixture host;
+      json row = {{"cpu_milli", 100},
+                  {"link_mbps", 100},
+                  {"relay_address", "10.0.0.3:90"}};
+      row[field] = value;
+      CHECK_NOTHROW(host.Apply("host/n-3", row, 4));
+      for (const auto& [node, candidate] : host.entry.ownership.candidates) {
+        CHECK(candidate.cpu_milli >= 0);
+        CHECK(candidate.cpu_milli <= 1'000'000'000);
+        CHECK(candidate.link_mbps >= 0);
+        CHECK(candidate.link_mbps <= 1'000'000'000);
+      }
+    }
+  }
+}
+
+// Guards against a process that ends at a query because the progress row of the
+// job is odd.
+TEST_CASE("the state of a job is told after any progress row") {
+  for (const json& value : OddValues()) {
+    CAPTURE(value.dump());
+    EntryState entry;
+    PendingCall& call = entry.calls[5];
+    call.call.kind = CallKind::kState;
+    call.call.number = 5;
+    call.job = kId;
+    call.stage = CallStage::kReadProgress;
+    call.pending_request = 1000;
+    call.deadline = Instant(seconds(99));
+    entry.call_by_request[1000] = 5;
+    StoreRows reply{.status = StoreStatus::kOk};
+    reply.rows.push_back(
+        {.key = kId, .value = {{"state", value}}, .revision = 3});
+    Effects out;
+    CHECK_NOTHROW(HandleStoreReply(entry, 1000, reply,
+                                   {.now = Instant(seconds(90))}, out));
+    int answers = 0;
+    for (const Effect& effect : out) {
+      const auto* answer = std::get_if<CallReply>(&effect);
+      if (answer == nullptr) continue;
+      ++answers;
+      CHECK(answer->state == JobState::kPending);
+    }
+    CHECK(answers == 1);
+  }
+}
+
+// Guards against an incarnation that overflows, which peers take for an old
+// one.
+TEST_CASE("the next incarnation follows any stored one") {
+  for (const json& value : OddValues()) {
+    const std::vector<Row> rows = {{"members/n-1", {{"incarnation", value}}, 3},
+                                   {"members/n-1", value, 4}};
+    CHECK(NextIncarnation(rows, "n-1", 1000) >= 1000);
+  }
+}
+
 // Guards against a process that ends at a job nested too deeply.
 TEST_CASE("a submitted job that is nested too deeply is invalid") {
   const std::string lists(1UL << 21, '[');
--- a/Tests/Model/cbor_test.cc
+++ b/Tests/Model/cbor_test.cc
@@ -164,5 +164,22 @@
   CHECK(ParseCbor("\x81\xff").is_null());
 }
 
+// Guards against numbers that `get` wraps around or cannot convert.
+TEST_CASE("only integers of 64 bits with a sign are integers") {
+  const std::int64_t max = std::numeric_limits<std::int64_t>::max();
+  const std::int64_t min = std::numeric_limits<std::int64_t>::min();
+  CHECK(AsInteger(max) == max);
+  CHECK(AsInteger(min) == min);
+  CHECK(AsInteger(std::uint64_t{7}) == 7);
+  for (const json& value :
+       {json(std::uint64_t{1} << 63), json(~std::uint64_t{0}), json(1.0),
+        json(1e300), json("7"), json(true), json(), json::array({7})}) {
+    CAPTURE(value);
+    CHECK_FALSE(AsInteger(value).has_value());
+    CHECK(IntegerOrZero({{"n", value}}, "n") == 0);
+    CHECK(IntegerOrZero(value, "n") == 0);
+  }
+}
+
 }  // namespace
 }  // namespace hyssopbarrow
