Wire: Refuse numbers that no clock or count can have

Numbers of entries, replies and callers were taken as they came. Integers past 64 bits became negative; numbers with a fraction were cast to integers, which is undefined beyond their range; and sums of times and amounts overflowed. A caller's timeout of 2^63 - 1 ms became one that had passed. A target could be listed with port 0, to which no connection can be made, or with an address with a NUL in it, which was read up to there.

Fields reads bounded integers and only finite numbers, limits.h has the bounds, and errors name the field.

--- a/Source/Control/job_command.cc
+++ b/Source/Control/job_command.cc
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <fstream>
 #include <random>
+#include <sstream>
 #include <utility>
 
 #include "Model/json.h"
--- a/Source/Fleet/job_api.cc
+++ b/Source/Fleet/job_api.cc
@@ -1,5 +1,6 @@
 #include "Fleet/job_api.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -14,6 +15,8 @@
 constexpr std::string_view kBearer = "Bearer ";
 /// If the header `x-deadline-ms` is missing.
 constexpr std::int64_t kDefaultDeadlineMs = 3000;
+/// No call takes an hour.
+constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
 
 /// HTTP status and value of the header `x-outcome`.
 struct HttpOutcome {
@@ -77,7 +80,8 @@
   const auto deadline = FindHeader(request.headers, "x-deadline-ms");
   const auto ms =
       deadline ? ParseInteger<std::int64_t>(*deadline) : std::nullopt;
-  call.time_left = std::chrono::milliseconds(ms.value_or(kDefaultDeadlineMs));
+  call.time_left = std::chrono::milliseconds(std::clamp<std::int64_t>(
+      ms.value_or(kDefaultDeadlineMs), 0, kMaxDeadlineMs));
   if (request.method == "POST" || request.method == "PUT") {
     call.kind = CallKind::kSubmit;
     ParseSpec(request.body, call);
--- a/Source/Fleet/relay_codec.cc
+++ b/Source/Fleet/relay_codec.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "Model/cbor.h"
+#include "Model/limits.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow::fleet {
@@ -216,7 +217,7 @@
                    {.kind = "relay reply", .number = reply, .part = ": run"});
   ReportedRun run;
   run.task = reader.Task("task");
-  run.run = reader.Integer("run");
+  run.run = reader.Bounded("run", kMaxNumber);
   run.checkpoint = reader.Text("checkpoint");
   run.speed_percent = reader.Integer("speed_percent");
   run.load = reader.Integer("load");
@@ -228,9 +229,9 @@
   RowReader reader(message,
                    {.kind = "relay reply", .number = reply, .part = ": end"});
   RunEnd end;
-  end.number = reader.Integer("number");
+  end.number = reader.Bounded("number", kMaxNumber);
   end.task = reader.Task("task");
-  end.run = reader.Integer("run");
+  end.run = reader.Bounded("run", kMaxNumber);
   end.kind = static_cast<RunEndKind>(reader.Bounded(
       "kind", static_cast<std::int64_t>(RunEndKind::kGangIncomplete)));
   end.checkpoint = reader.Text("checkpoint");
@@ -245,8 +246,8 @@
   const std::int64_t id = reader.Integer("id");
   reply.result = static_cast<TargetResult>(reader.Bounded(
       "result", static_cast<std::int64_t>(TargetResult::kRelayLost)));
-  reply.clock_ms = reader.Integer("clock_ms");
-  reply.started_unix_ms = reader.Integer("started_unix_ms");
+  reply.clock_ms = reader.Bounded("clock_ms", kMaxUnixMs);
+  reply.started_unix_ms = reader.Bounded("started_unix_ms", kMaxUnixMs);
   const std::size_t runs = reader.List("runs");
   for (std::size_t n = 0; n < runs && message.status.ok(); ++n) {
     reply.runs.push_back(DecodeRun(message, number));
--- a/Source/Http/address.cc
+++ b/Source/Http/address.cc
@@ -11,6 +11,8 @@
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return error;
   Address address{.ip = std::string(text.substr(0, colon))};
+  // inet_pton reads up to a NUL.
+  if (address.ip.find('\0') != std::string::npos) return error;
   in_addr buf{};
   if (inet_pton(AF_INET, address.ip.c_str(), &buf) != 1) return error;
   const auto port = ParseInteger<std::uint16_t>(text.substr(colon + 1));
--- a/Source/Model/fields.cc
+++ b/Source/Model/fields.cc
@@ -1,6 +1,8 @@
 #include "Model/fields.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 #include <utility>
 
 #include "Model/json.h"
@@ -28,14 +30,24 @@
 std::int64_t Fields::Integer(const char* name, std::int64_t fallback) {
   const json* value = Find(name);
   if (value == nullptr) return fallback;
-  if (!value->is_number_integer()) return Fail(name, "an integer"), fallback;
-  return value->get<std::int64_t>();
+  const std::optional<std::int64_t> n = AsInteger(*value);
+  if (!n.has_value()) Fail(name, "an integer");
+  return n.value_or(fallback);
+}
+
+std::int64_t Fields::Bounded(const char* name, std::int64_t low,
+                             std::int64_t high, std::int64_t fallback) {
+  const std::int64_t n = Integer(name, fallback);
+  if (n >= low && n <= high) return n;
+  Fail(name, StrCat("from ", low, " to ", high));
+  return fallback;
 }
 
 double Fields::Number(const char* name, double fallback) {
   const json* value = Find(name);
   if (value == nullptr) return fallback;
-  if (!value->is_number()) return Fail(name, "a number"), fallback;
+  const bool finite = value->is_number() && std::isfinite(value->get<double>());
+  if (!finite) return Fail(name, "a number"), fallback;
   return value->get<double>();
 }
 
@@ -82,11 +94,12 @@
 std::vector<std::int64_t> Fields::Integers(const char* name) {
   std::vector<std::int64_t> numbers;
   for (const json& element : List(name)) {
-    if (!element.is_number_integer()) {
+    const std::optional<std::int64_t> n = AsInteger(element);
+    if (!n.has_value()) {
       Fail(name, "a list of integers");
       return {};
     }
-    numbers.push_back(element.get<std::int64_t>());
+    numbers.push_back(*n);
   }
   return numbers;
 }
--- a/Source/Model/fields.h
+++ b/Source/Model/fields.h
@@ -24,6 +24,10 @@
 
   /// Returns the value of a field, or `fallback` if it is absent.
   std::int64_t Integer(const char* name, std::int64_t fallback = 0);
+  /// An integer from `low` to `high`.
+  std::int64_t Bounded(const char* name, std::int64_t low, std::int64_t high,
+                       std::int64_t fallback = 0);
+  /// A finite number.
   double Number(const char* name, double fallback);
   /// Returns a boolean field, or false if it is absent.
   bool Flag(const char* name);
--- a/Source/Model/job.cc
+++ b/Source/Model/job.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Model/fields.h"
+#include "Model/limits.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow::fleet {
@@ -16,8 +17,6 @@
 /// Part of the callers' API contract.
 constexpr std::size_t kMaxPayloadBytes = 4'000;
 constexpr std::int64_t kMaxRepeats = 100'000;
-/// Limits each amount of a resource and each time span in milliseconds.
-constexpr std::int64_t kMaxAmount = 1LL << 40;
 
 constexpr std::array<std::pair<JobState, std::string_view>, 5> kJobStateNames =
     {{
@@ -169,7 +168,9 @@
   if (!InRange(spec.interval_ms, 0, kMaxAmount)) {
     return InvalidField("interval_ms", "from 0 to 2^40");
   }
-  if (spec.start_ms < 0) return InvalidField("start_ms", "0 or more");
+  if (!InRange(spec.start_ms, 0, kMaxUnixMs)) {
+    return InvalidField("start_ms", "from 0 to the end of the year 9999");
+  }
   return absl::OkStatus();
 }
 
@@ -254,7 +255,7 @@
                    .queue = fields.Text("queue"),
                    .pool = fields.Text("pool"),
                    .team = fields.Text("team"),
-                   .accepted_ms = fields.Integer("accepted_ms"),
+                   .accepted_ms = fields.Bounded("accepted_ms", 0, kMaxUnixMs),
                    .max_attempts = fields.Integer("max_attempts", 1),
                    .spec = ParseSpecFields(fields)};
   absl::Status status = fields.status();
--- a/Source/Model/snapshot.cc
+++ b/Source/Model/snapshot.cc
@@ -44,10 +44,9 @@
     const nlohmann::json* found = FindField(field, false);
     if (found == nullptr) return;
     const std::string expected = StrCat("an integer from ", low, " to ", high);
-    if (!found->is_number_integer()) return Fail(field, expected);
-    const auto n = found->get<std::int64_t>();
-    if (n < low || n > high) return Fail(field, expected);
-    out = n;
+    const std::optional<std::int64_t> n = AsInteger(*found);
+    if (!n.has_value() || *n < low || *n > high) return Fail(field, expected);
+    out = *n;
   }
 
   void Boolean(const char* field, bool& out) {
--- a/Source/Peer/codec.cc
+++ b/Source/Peer/codec.cc
@@ -230,6 +230,9 @@
   nlohmann::json out_ = nlohmann::json::array();
 };
 
+/// Leaves room to add it to the clock.
+constexpr Duration kMaxDuration = std::chrono::hours(24 * 365 * 100);
+
 /// Decodes the fields listed by a Describe function from an array, starting at
 /// index `first`. Keeps the first error; later fields are then skipped.
 class Reader {
@@ -289,6 +292,9 @@
   void ReadValue(const char* field, const nlohmann::json& in, Duration& out) {
     std::int64_t n = 0;
     ReadValue(field, in, n);
+    if (n < -kMaxDuration.count() || n > kMaxDuration.count()) {
+      return Fail(field, "is out of range");
+    }
     out = Duration(n);
   }
 
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -23,6 +23,8 @@
 constexpr std::int64_t kRunNumbersPerEpoch = 1000;
 /// Targets named in one approval request.
 constexpr std::size_t kMaxApprovalTargets = 30;
+/// Limits what a large slack factor allows, so that the clock can add it.
+constexpr double kMaxSlackMs = 1e15;
 constexpr Duration kApprovalRetryDelay = milliseconds(200);
 constexpr Duration kApprovalTimeout = milliseconds(2000);
 /// How long before its expiry an approval is no longer used.
@@ -494,8 +496,9 @@
   const auto total_ms = static_cast<double>(
       job.critical_path_ms > 0 ? job.critical_path_ms
                                : WholeCriticalPathMs(job.record.spec));
-  const auto allowed_ms =
-      static_cast<std::int64_t>(slack * total_ms) + latency_target_ms;
+  const auto allowed_ms = static_cast<std::int64_t>(
+                              std::clamp(slack * total_ms, 0.0, kMaxSlackMs)) +
+                          latency_target_ms;
   const Instant from =
       job.record.spec.repeats > 0 ? occurrence.due : job.accepted_at;
   return from +
--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -183,6 +183,47 @@
   }
 }
 
+Job NewJob(const JobSpec& spec) {
+  Job job;
+  job.record = {.id = kId, .queue = "book", .pool = "desk", .spec = spec};
+  job.open_occurrences[0] = NewOccurrence(spec, {});
+  return job;
+}
+
+// Guards against times of a job that overflow in a sum: the first occurrence
+// of such a job was due at once.
+TEST_CASE("a job whose times no clock shows is invalid") {
+  JobSpec spec = SimpleJob(1, false);
+  spec.repeats = 3;
+  spec.interval_ms = 1000;
+  for (const std::int64_t start_ms :
+       {kMaxInt64, kMaxInt64 - 1, std::int64_t{1} << 60, std::int64_t{-1}}) {
+    spec.start_ms = start_ms;
+    const absl::Status status = Validate(spec);
+    REQUIRE_FALSE(status.ok());
+    CHECK(status.message().find("start_ms") != std::string::npos);
+  }
+  for (const std::int64_t accepted_ms : {kMaxInt64, kMinInt64}) {
+    json row = ToJson(JobRecord{.id = kId, .spec = SimpleJob(1, false)});
+    row["accepted_ms"] = accepted_ms;
+    const absl::Status status = ParseJobRecord(kId, row).status();
+    REQUIRE_FALSE(status.ok());
+    CHECK(status.message().find("accepted_ms") != std::string::npos);
+  }
+}
+
+// Guards against a latest start that overflows, so that the job waits for no
+// others.
+TEST_CASE("a slack factor of any size leaves a job its latest start") {
+  JobSpec spec = SimpleJob(1, false);
+  spec.steps[0].estimate_ms = std::int64_t{1} << 40;
+  const Job job = NewJob(spec);
+  const double slack = GENERATE(1e300, 1e9, 1e6, 1.0);
+  const Queue queue{.name = "book", .slack_factor = slack};
+  CAPTURE(slack);
+  CHECK(LatestStart(job, job.open_occurrences.at(0), &queue) >= Instant{});
+}
+
 // Guards against an incarnation that overflows, which peers take for an old
 // one.
 TEST_CASE("the next incarnation follows any stored one") {
@@ -193,6 +234,33 @@
   }
 }
 
+// Guards against a deadline that has passed because its duration overflows.
+TEST_CASE("a deadline of any length leaves its caller time") {
+  const auto text = GENERATE("9223372036854775807", "9223372036854776",
+                             "18446744073709551616", "3600000");
+  HttpRequest request{.method = "GET", .path = "/"};
+  request.headers.push_back({"x-deadline-ms", text});
+  CAPTURE(text);
+  CHECK(JobCodec().Decode(request).time_left >= seconds(3));
+}
+
+// Guards against numbers of a target that overflow in a sum.
+TEST_CASE("a relay reply with a number out of range is an error") {
+  const auto decodes = [](const TargetReply& reply) {
+    return DecodeRelayReplies(EncodeRelayReplies({{1, reply}})).ok();
+  };
+  const TaskName task = {kId, 0, 0, 0};
+  CHECK(decodes({.clock_ms = 5, .runs = {{task, 1}}, .ends = {{3, task, 1}}}));
+  for (const std::int64_t n : {kMaxInt64, kMinInt64, std::int64_t{-1}}) {
+    CAPTURE(n);
+    CHECK_FALSE(decodes({.clock_ms = n}));
+    CHECK_FALSE(decodes({.started_unix_ms = n}));
+    CHECK_FALSE(decodes({.runs = {{task, n}}}));
+    CHECK_FALSE(decodes({.ends = {{n, task, 1}}}));
+    CHECK_FALSE(decodes({.ends = {{3, task, n}}}));
+  }
+}
+
 // Guards against a process that ends at a job nested too deeply.
 TEST_CASE("a submitted job that is nested too deeply is invalid") {
   const std::string lists(1UL << 21, '[');
--- a/Tests/Peer/codec_test.cc
+++ b/Tests/Peer/codec_test.cc
@@ -96,6 +96,14 @@
   }
 }
 
+// Guards against a deadline that has passed because its duration overflows.
+TEST_CASE("A message with a duration that no clock can add is an error") {
+  for (const std::int64_t us : {INT64_MAX, INT64_MIN, std::int64_t{1} << 62}) {
+    CHECK(ErrorOf({0, "lukla", 12, true, false, us}) ==
+          "heartbeat: field 'confirmed_age' is out of range");
+  }
+}
+
 // Guards against a process that ends when it forwards text that is no UTF-8.
 TEST_CASE("A message with text that is not UTF-8 is an error") {
   CHECK_FALSE(DecodeMessage(ToCbor({0, "\xff", 12, true, false, 0})).ok());
--- a/Tests/Platform/odd_entries_test.cc
+++ b/Tests/Platform/odd_entries_test.cc
@@ -174,5 +174,133 @@
         fleet::HostRequestResult::kBusy);
 }
 
+/// Returns the good target with one more field, which replaces that of the
+/// same name.
+json TargetWith(const std::string& name, const json& value) {
+  json target = json::parse(kGoodTarget);
+  target[name] = value;
+  return target;
+}
+
+// Guards against numbers of an entry that become other ones, whose sums
+// overflow or to which no connection can be made.
+TEST_CASE("an entry with a number out of range is an error by field") {
+  const std::int64_t max = std::numeric_limits<std::int64_t>::max();
+  const std::int64_t min = std::numeric_limits<std::int64_t>::min();
+  const std::uint64_t past_int64 = 1ULL << 63;
+  struct OddField {
+    json target;
+    std::string field;
+  };
+  std::vector<OddField> odd;
+  for (const json& number : {json(past_int64), json(max), json(min), json(-1),
+                             json(1e300), json("5"), json::array({5})}) {
+    odd.push_back({TargetWith("born", number), "born"});
+    for (const char* name : {"Cpu", "MemMb", "Gpu"}) {
+      odd.push_back({TargetWith("Capacity", {{name, number}}), "Capacity"});
+    }
+  }
+  for (const json& address :
+       {json("10.0.0.9:0"), json("10.0.0.9:65536"), json("10.0.0.9:-1"),
+        json("10.0.0.9:99999999999999999999"), json("10.0.0.9:x"),
+        json("10.0.0.9:"), json("10.0.0.9"), json(":80"), json("[::1]:80"),
+        json("10.0.0.9:80 "), json(std::string("10.0.0.9\0:80", 12)), json(80),
+        json("")}) {
+    odd.push_back({TargetWith("Address", address), "Address"});
+  }
+  for (const OddField& it : odd) {
+    CAPTURE(it.target.dump());
+    const fleet::StoreRows rows =
+        DecodeValues(Table::kTargets, it.target.dump());
+    CHECK(rows.targets.size() == 2);
+    CHECK(rows.removed_targets == std::vector<std::string>{"b"});
+    REQUIRE(rows.errors.size() == 1);
+    CHECK(rows.errors[0].find(it.field) != std::string::npos);
+  }
+}
+
+// Guards against numbers of callers that become others.
+TEST_CASE("a job with a number past 64 bits is invalid") {
+  for (const std::string field :
+       {"Count", "EstimateMs", "AntiAffinity", "TargetMs", "MayMiss", "Cpu"}) {
+    for (const std::string number :
+         {"9223372036854775808", "18446744073709551615",
+          "18446744073709551616"}) {
+      const std::string body =
+          StrCat(R"({"Steps":[{"Count":1,")", field, R"(":)", number, "}]}");
+      CAPTURE(body);
+      const absl::Status status = DecodeJob(body).status();
+      CHECK_FALSE(status.ok());
+      CHECK(status.message().find(field) != std::string::npos);
+    }
+  }
+  CHECK_FALSE(
+      DecodeJob(
+          R"({"Steps":[{"Count":2},{"Count":1,"DependsOn":[18446744073709551615]}]})")
+          .ok());
+}
+
+// Guards against conversions of numbers that are outside the range of integers.
+TEST_CASE("a wave with a duration out of range is an error by field") {
+  for (const std::string duration :
+       {"1e300", "-1e300", "9.3e15", "-1", "9223372036854775807"}) {
+    CAPTURE(duration);
+    const auto wave = DecodeWave(json::parse(
+        StrCat(R"({"Wave":1,"Machines":["m"],"DurationS":)", duration, "}")));
+    REQUIRE_FALSE(wave.ok());
+    CHECK(wave.status().message().find("DurationS") != std::string::npos);
+  }
+  for (const double number : {std::numeric_limits<double>::infinity(),
+                              std::numeric_limits<double>::quiet_NaN()}) {
+    CHECK_FALSE(DecodeWave({{"Wave", 1}, {"DurationS", number}}).ok());
+  }
+  const auto wave = DecodeWave({{"Wave", 1}, {"DurationS", 1.5}});
+  REQUIRE(wave.ok());
+  CHECK(wave->duration_ms == 1500);
+}
+
+// Guards against conversions of numbers that are outside the range of integers.
+TEST_CASE("a run with odd numbers does not hide the others") {
+  for (const std::string number : {"1e300", "-1e300", "9223372036854775808",
+                                   "18446744073709551615", "1e18", "-5"}) {
+    CAPTURE(number);
+    const std::string body = StrCat(
+        R"({"ClockMs":)", number, R"(,"born":)", number,
+        R"(,"Running":[["a1.0.0.0",1,"",)", number, ",", number,
+        R"(],["a1.0.0.1",)", number, R"(,"",100],["a1.0.0.2",2,"",100,7]],)",
+        R"("Ended":[[)", number, R"(,"a1.0.0.3",1,"done",""],[5,"a1.0.0.4",)",
+        number, R"(,"done",""],[6,"a1.0.0.5",1,"done",""]]})");
+    const fleet::TargetReply reply = DecodeTargetReply(MakeResponse(200, body));
+    CHECK(reply.clock_ms == 0);
+    CHECK(reply.started_unix_ms == 0);
+    REQUIRE(!reply.runs.empty());
+    CHECK(reply.runs.back().task.index == 2);
+    CHECK(reply.runs.back().load == 7);
+    for (const fleet::ReportedRun& run : reply.runs) {
+      CHECK(run.run >= 0);
+      CHECK(run.speed_percent >= 0);
+      CHECK(run.speed_percent <= 1'000'000);
+      CHECK(run.load >= 0);
+      CHECK(run.load <= 1'000'000'000);
+    }
+    REQUIRE(!reply.ends.empty());
+    CHECK(reply.ends.back().number == 6);
+    for (const fleet::RunEnd& end : reply.ends) {
+      CHECK(end.number >= 0);
+      CHECK(end.run >= 0);
+    }
+  }
+}
+
+// Guards against a deadline that has passed because its duration overflows.
+TEST_CASE("a timeout of any length leaves its caller time") {
+  const auto text = GENERATE("9223372036854775807", "9223372036854776",
+                             "18446744073709551616", "3600000");
+  HttpRequest request{.method = "GET", .path = "/"};
+  request.headers.push_back({"x-hyssopbarrow-request-timeout-ms", text});
+  CAPTURE(text);
+  CHECK(CallerCodec().Decode(request).time_left >= std::chrono::seconds(3));
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::platform
