Policy: Open only occurrences that a job has

Each occurrence that a progress row named was opened with all tasks of the job, whether the job had it or not: one row of 64 KiB can name thousands. Numbers of runs that are no integers of 64 bits were converted all the same, evidence of a crash could have any value, and the time of a wave could overflow its end.

Occurrences outside of the job's number are unknown tasks, at most kMaxOpenOccurrences are open, and a row with other numbers than an owner writes is an error, after which no task of the job is started.

--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -1,8 +1,12 @@
 #include "Policy/job_table.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
+#include "Model/json.h"
+#include "Model/limits.h"
 #include "Model/text.h"
 
 namespace hyssopbarrow::fleet {
@@ -56,6 +60,36 @@
   return list;
 }
 
+/// Returns a number from 0 to kMaxNumber; nothing for any other value.
+std::optional<std::int64_t> ReadNumber(const nlohmann::json& value) {
+  const std::optional<std::int64_t> n = AsInteger(value);
+  const bool valid = n.has_value() && *n >= 0 && *n <= kMaxNumber;
+  return valid ? n : std::nullopt;
+}
+
+/// Returns false if `list` has other values than ReadNumber returns.
+bool ReadNumbers(const nlohmann::json& list, std::set<std::int64_t>& out) {
+  if (!list.is_array()) return false;
+  for (const nlohmann::json& value : list) {
+    const std::optional<std::int64_t> n = ReadNumber(value);
+    if (!n.has_value()) return false;
+    out.insert(*n);
+  }
+  return true;
+}
+
+absl::Status InvalidNumber(std::string_view field) {
+  return absl::InvalidArgumentError(
+      StrCat("field '", field, "' has a number that is out of range"));
+}
+
+/// Returns the object in field `name`, empty if it is absent. Throws nlohmann's
+/// type_error for any other value.
+nlohmann::json ReadObject(const nlohmann::json& row, const char* name) {
+  const nlohmann::json value = row.value(name, nlohmann::json::object());
+  return value.get_ref<const nlohmann::json::object_t&>();
+}
+
 }  // namespace
 
 Occurrence NewOccurrence(const JobSpec& spec, Instant due) {
@@ -202,7 +236,15 @@
 absl::Status ApplyProgress(const nlohmann::json& row, Instant now, Job& job) {
   const auto task_at = [&](const std::string& name) -> Task* {
     const auto parsed = ParseTaskName(StrCat(job.record.id, ".", name));
-    if (!parsed.has_value()) return nullptr;
+    const std::int64_t occurrences =
+        std::max<std::int64_t>(1, job.record.spec.repeats);
+    const bool exists = parsed.has_value() && parsed->occurrence >= 0 &&
+                        parsed->occurrence < occurrences;
+    if (!exists) return nullptr;
+    const bool opens = job.open_occurrences.count(parsed->occurrence) == 0;
+    if (opens && job.open_occurrences.size() >= kMaxOpenOccurrences) {
+      return nullptr;
+    }
     job.open_occurrences.try_emplace(parsed->occurrence,
                                      NewOccurrence(job.record.spec, now));
     return FindTask(job, *parsed);
@@ -214,15 +256,15 @@
     }
     job.state = *state;
     job.has_run = row.value("has_run", false);
-    if (row.contains("finished")) {
-      row["finished"].get_to(job.finished_occurrences);
-    }
-    const auto no_tasks = nlohmann::json::object();
-    const nlohmann::json done = row.value("done", no_tasks);
-    const nlohmann::json failures = row.value("failures", no_tasks);
-    const nlohmann::json crashes = row.value("crashes", no_tasks);
-    const nlohmann::json saved_by_task = row.value("saved", no_tasks);
-    const nlohmann::json sent_by_task = row.value("sent", no_tasks);
+    const bool finished_readable =
+        !row.contains("finished") ||
+        ReadNumbers(row["finished"], job.finished_occurrences);
+    if (!finished_readable) return InvalidNumber("finished");
+    const nlohmann::json done = ReadObject(row, "done");
+    const nlohmann::json failures = ReadObject(row, "failures");
+    const nlohmann::json crashes = ReadObject(row, "crashes");
+    const nlohmann::json saved_by_task = ReadObject(row, "saved");
+    const nlohmann::json sent_by_task = ReadObject(row, "sent");
     for (const auto& [name, bits] : done.items()) {
       const auto text = bits.get<std::string>();
       for (std::size_t n = 0; n < text.size(); ++n) {
@@ -235,14 +277,22 @@
       }
     }
     for (const auto& [name, failed_runs] : failures.items()) {
-      if (Task* task = task_at(name)) failed_runs.get_to(task->failed_runs);
+      Task* task = task_at(name);
+      if (task != nullptr && !ReadNumbers(failed_runs, task->failed_runs)) {
+        return InvalidNumber("failures");
+      }
     }
     for (const auto& [name, crashed_runs] : crashes.items()) {
       Task* task = task_at(name);
       if (task == nullptr) continue;
       for (const nlohmann::json& run : crashed_runs) {
-        task->crashed_runs[run.at(0).get<std::int64_t>()] =
-            run.at(1).get<CrashEvidence>();
+        const std::optional<std::int64_t> number = ReadNumber(run.at(0));
+        const std::optional<std::int64_t> evidence = ReadNumber(run.at(1));
+        const bool valid =
+            number.has_value() && evidence.has_value() &&
+            *evidence <= static_cast<std::int64_t>(CrashEvidence::kCertain);
+        if (!valid) return InvalidNumber("crashes");
+        task->crashed_runs[*number] = static_cast<CrashEvidence>(*evidence);
       }
     }
     for (const auto& [name, saved] : saved_by_task.items()) {
@@ -254,10 +304,14 @@
         return absl::InvalidArgumentError("field 'sent' names an unknown task");
       }
       for (const nlohmann::json& assignment : list) {
+        const auto started_unix_ms = ReadNumber(assignment.at(1));
+        const auto run = ReadNumber(assignment.at(2));
+        const bool valid = started_unix_ms.has_value() && run.has_value();
+        if (!valid) return InvalidNumber("sent");
         task->assignments.push_back(
             {.target = assignment.at(0).get<std::string>(),
-             .started_unix_ms = assignment.at(1).get<std::int64_t>(),
-             .run = assignment.at(2).get<std::int64_t>()});
+             .started_unix_ms = *started_unix_ms,
+             .run = *run});
         task->last_run = std::max(task->last_run, task->assignments.back().run);
       }
     }
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Model/json.h"
+#include "Model/limits.h"
 #include "Model/text.h"
 #include "Policy/crashes.h"
 #include "Policy/host_manager.h"
@@ -27,8 +29,6 @@
 constexpr Duration kMinRoundInterval = milliseconds(2);
 /// Between rounds over all targets, which find retries and expired leases.
 constexpr Duration kFullRoundInterval = milliseconds(50);
-/// Per job. Further occurrences open once earlier ones are complete.
-constexpr std::int64_t kMaxOpenOccurrences = 64;
 /// Callers are told a number of waiting jobs that is at most this old.
 constexpr Duration kMaxWaitingCountAge = milliseconds(2000);
 /// Leave time for a start to reach its target: users expect that no task starts
@@ -61,8 +61,7 @@
     return;
   }
   while (job.next_occurrence < spec.repeats &&
-         static_cast<std::int64_t>(job.open_occurrences.size()) <
-             kMaxOpenOccurrences) {
+         job.open_occurrences.size() < kMaxOpenOccurrences) {
     const std::int64_t due =
         spec.start_ms + job.next_occurrence * spec.interval_ms;
     if (due > time.unix_ms) return;
@@ -308,11 +307,9 @@
       for (const nlohmann::json& host : row.value["done"]) {
         if (host.is_string()) view.done_hosts.insert(host.get<std::string>());
       }
-      const auto first_seen = row.value.find("seen_ms");
-      const bool readable =
-          first_seen != row.value.end() && first_seen->is_number_integer();
-      if (readable) {
-        view.first_seen_unix_ms = first_seen->get<std::int64_t>();
+      const std::int64_t first_seen = IntegerOrZero(row.value, "seen_ms");
+      if (first_seen > 0 && first_seen <= kMaxUnixMs) {
+        view.first_seen_unix_ms = first_seen;
       }
       continue;
     }
--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -190,6 +190,59 @@
   return job;
 }
 
+// Guards against an owner that opens thousands of occurrences, each with all
+// tasks of the job, because of one progress row.
+TEST_CASE("a progress row opens no occurrences that the job does not have") {
+  json row = {{"state", "running"}};
+  for (int n = -5; n < 3000; ++n) row["failures"][StrCat(n, ".0.0")] = {1};
+  for (const char* field : {"failures", "crashes", "saved"}) {
+    row[field]["9223372036854775807.0.0"] = json::array();
+  }
+  row.erase("saved");
+  JobSpec spec = SimpleJob(3, true);
+  Job job = NewJob(spec);
+  CHECK(ApplyProgress(row, {}, job).ok());
+  CHECK(job.open_occurrences.size() == 1);
+  spec.repeats = 100'000;
+  Job repeated = NewJob(spec);
+  CHECK(ApplyProgress(row, {}, repeated).ok());
+  CHECK(repeated.open_occurrences.size() == 64);
+}
+
+// Guards against undefined conversions, and numbers that become others, in the
+// progress row of a job.
+TEST_CASE("a progress row is an error if no owner could have written it") {
+  std::vector<json> rows;
+  for (const json& number : {json(1e300), json(-1e300), json(1.5), json("1"),
+                             json(std::numeric_limits<std::uint64_t>::max())}) {
+    rows.push_back({{"state", "running"}, {"finished", {number}}});
+    rows.push_back({{"state", "running"}, {"failures", {{"0.0.0", {number}}}}});
+    rows.push_back(
+        {{"state", "running"}, {"sent", {{"0.0.0", {{"i-1", number, 1}}}}}});
+    rows.push_back(
+        {{"state", "running"}, {"sent", {{"0.0.0", {{"i-1", 1, number}}}}}});
+    rows.push_back(
+        {{"state", "running"}, {"crashes", {{"0.0.0", {{number, 1}}}}}});
+    rows.push_back(
+        {{"state", "running"}, {"crashes", {{"0.0.0", {{1, number}}}}}});
+  }
+  for (const json& value : OddValues()) {
+    if (value.is_object()) continue;
+    for (const char* field : {"done", "failures", "crashes", "saved", "sent"}) {
+      // A field that is null counts as absent.
+      if (value.is_null() || value.empty()) continue;
+      rows.push_back({{"state", "running"}, {field, value}});
+    }
+    rows.push_back(value);
+  }
+  for (const json& row : rows) {
+    CAPTURE(row.dump().substr(0, 200));
+    Job job = NewJob(SimpleJob(3, true));
+    CHECK_FALSE(ApplyProgress(row, {}, job).ok());
+    CHECK(job.open_occurrences.size() == 1);
+  }
+}
+
 // Guards against times of a job that overflow in a sum: the first occurrence
 // of such a job was due at once.
 TEST_CASE("a job whose times no clock shows is invalid") {
@@ -224,6 +277,27 @@
   CHECK(LatestStart(job, job.open_occurrences.at(0), &queue) >= Instant{});
 }
 
+// Guards against a wave whose end overflows, and a process that ends at a row
+// that is no object.
+TEST_CASE("a row of a wave may have any values") {
+  for (const json& value : OddValues()) {
+    CAPTURE(value.dump());
+    Owner owner;
+    const StoreRows rows = {
+        .rows = {{.key = "wave/1", .value = value},
+                 {.key = "wave/2",
+                  .value = {{"done", {value, "m-1"}}, {"seen_ms", value}}},
+                 {.key = "wave/3", .value = {{"done", value}}},
+                 {.key = "wave/4", .value = {{"done", {"m-4"}}}}}};
+    CHECK_NOTHROW(ApplyProgressRows(owner, rows));
+    const std::int64_t seen_ms = owner.host_manager.waves[2].first_seen_unix_ms;
+    CHECK(seen_ms >= 0);
+    CHECK(seen_ms < std::int64_t{1} << 50);
+    CHECK(owner.host_manager.waves[2].done_hosts.count("m-1") == 1);
+    CHECK(owner.host_manager.waves[4].done_hosts.count("m-4") == 1);
+  }
+}
+
 // Guards against an incarnation that overflows, which peers take for an old
 // one.
 TEST_CASE("the next incarnation follows any stored one") {
