Review: Read a watch's rows and version together

Jobs of the review's scripts were accepted and never started, without any disruption: the owner never saw their rows.

`_feed` read the rows before its wait and after each change, but not once the wait had ended. `wait_for` must take the lock of the condition again before it gives up, so that a row can be written meanwhile; the reply then gave the new version without the row, and the caller went on from that version. Now the rows are read with the version, and nothing can be written between the two.

--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -195,16 +195,15 @@
             return [self.rows[i].to_json()
                     for v in versions for i in self.changes[table][v]]
 
-        rows = changed_rows()
-        while not rows and time.monotonic() < deadline:
+        while not changed_rows() and time.monotonic() < deadline:
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait(),
                                            deadline - time.monotonic())
                 except (asyncio.TimeoutError, ValueError):
                     break
-            rows = changed_rows()
-        return 200, {"rows": rows, **self._stamp()}
+        # Read together with the version, as a row may come while a wait ends.
+        return 200, {"rows": changed_rows(), **self._stamp()}
 
     async def _expire_entries(self):
         while True:
