Review: Reply to a write with its own version

The store's reply to a write could give the version of a later write: `_apply` took the version only after it had waited for the lock under which it wakes the watches, and another write could come meanwhile. The owner takes this version as that of its rows, so that its next commit would be refused, and a new owner would take itself as replaced. Now the version is taken with the write.

`check_store.py` holds the lock while two writes are made; it failed before ("versions [2, 2]") and passes now.

--- a/review/standins/check_store.py
+++ b/review/standins/check_store.py
@@ -26,6 +26,20 @@
     return None
 
 
+# Guards against an owner that waits for a version that its row does not have,
+# since the reply to a write gave the version of a later one.
+async def write_reply_has_the_version_of_the_write(store):
+    def write(key):
+        row = {"Table": TABLE, "part": "", "Key": key, "Value": ""}
+        return asyncio.ensure_future(store._apply([], [row], []))
+
+    async with store.changed:  # A watch that wakes up holds both replies back.
+        writes = [write("a"), write("b")]
+        await asyncio.sleep(WAIT_MS / 1000)
+    found = [(await it)[1]["Ver"] for it in writes]
+    return None if found == [1, 2] else f"versions {found}"
+
+
 async def run(check):
     store = platform_store.Platform("", "", "", "")
     store.changed = asyncio.Condition()
@@ -34,7 +48,8 @@
 
 def main():
     failed = False
-    for check in (watch_reply_holds_a_row_written_as_the_wait_ends,):
+    for check in (watch_reply_holds_a_row_written_as_the_wait_ends,
+                  write_reply_has_the_version_of_the_write):
         error = asyncio.run(run(check))
         if error:
             failed = True
--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -151,9 +151,10 @@
             self._set(row["Table"], row["part"], row["Key"], row["Value"])
         for row in removed:
             self._set(row["Table"], row["part"], row["Key"], None)
+        stamp = self._stamp()  # Later writes may come before the lock is free.
         async with self.changed:
             self.changed.notify_all()
-        return 200, self._stamp()
+        return 200, stamp
 
     def _set(self, table, part, key, value):
         identity = (table, part, key)
