Policy: Request approvals for all targets in turn

Jobs of a queue with a placement policy were never started if the policy allowed only targets that are seldom empty, such as one with a long-running task.

A request names 30 targets, those with the most free CPU, and each request named the same ones again. In a larger pool the allowed target was never named. Now a step's requests name all targets of its pool in turn, still those with the most free CPU first; a turn that has named all begins again with the emptiest. Targets that the last reply approved and that fit the step stay in the request, so a step that starts tasks keeps the targets that it may use. A request without an answer counts for its turn, so a lost answer delays its targets until the next one.

--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -166,6 +166,7 @@
 struct Approval {
   std::int64_t pending_request = 0;            ///< Request id; 0 if none.
   std::map<std::string, std::string> tickets;  ///< By target.
+  std::set<std::string> named;  ///< Targets of requests since the turn began.
   Instant valid_until{};
   Instant retry_at{};
 };
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -38,6 +38,13 @@
   kLate,
 };
 
+/// Order of targets in an approval request.
+enum class ApprovalRank {
+  kUsable,  ///< Approved by the last reply, and fits the step.
+  kInTurn,  ///< Not named since the turn began.
+  kNamed,
+};
+
 /// A job's occurrence, ordered by `Key` within its pool.
 struct Candidate {
   CandidateRank rank = CandidateRank::kLate;
@@ -460,14 +467,32 @@
     ApprovalRequest request{.id = approval.pending_request,
                             .step = StepName(name),
                             .timeout = kApprovalTimeout};
-    std::vector<FreeTarget> targets = pool.targets;
-    std::sort(targets.begin(), targets.end(),
-              [](const FreeTarget& a, const FreeTarget& b) {
-                return a.free.cpu_milli > b.free.cpu_milli;
-              });
-    for (const FreeTarget& target : targets) {
+    // The policy may allow only targets with little room, so all are named in
+    // turn, and those with the most free CPU first. A target that was approved
+    // and has room stays in the request.
+    const Step& step = StepOf(job, name.step);
+    std::vector<std::tuple<ApprovalRank, std::int64_t, std::string>> targets;
+    for (const FreeTarget& it : pool.targets) {
+      const std::string& id = it.target->entry.id;
+      // Eligible targets are those that the last reply has approved.
+      const bool usable = !it.isolated && Fits(NeedOf(step), it.free) &&
+                          IsEligible(*it.target, step, name);
+      const bool named = approval.named.contains(id);
+      targets.emplace_back(usable  ? ApprovalRank::kUsable
+                           : named ? ApprovalRank::kNamed
+                                   : ApprovalRank::kInTurn,
+                           -it.free.cpu_milli, id);
+    }
+    std::sort(targets.begin(), targets.end());
+    bool turn_ended = false;
+    for (const auto& [rank, negative_free_cpu, id] : targets) {
       if (request.targets.size() == kMaxApprovalTargets) break;
-      request.targets.push_back(target.target->entry.id);
+      if (rank == ApprovalRank::kNamed && !turn_ended) {
+        turn_ended = true;
+        approval.named.clear();
+      }
+      approval.named.insert(id);
+      request.targets.push_back(id);
     }
     context_.out.emplace_back(std::move(request));
     return false;
--- a/Tests/Fleet/placement_test.cc
+++ b/Tests/Fleet/placement_test.cc
@@ -241,6 +241,99 @@
         std::vector<std::string>(2, "i-2"));
 }
 
+/// 70 targets, of which those with higher numbers have more free CPU, and a job
+/// whose queue needs approvals.
+struct ApprovalFixture : PlacementFixture {
+  static constexpr int kTargets = 70;
+
+  ApprovalFixture() {
+    const TargetView first = owner.targets.at("i-0");
+    for (int n = 0; n < kTargets; ++n) {
+      const std::string id = StrCat("i-", n);
+      TargetView& target = owner.targets.insert({id, first}).first->second;
+      target.entry.id = id;
+      target.used.cpu_milli = 2000 - n;
+    }
+    timing.approvals_enabled = true;
+    configuration.queues[0].approval = ApprovalTiming{.valid_ms = 1500};
+    AddJob(kFirstJob, MakeStep(1, 1000));
+  }
+
+  void Place() {
+    Context context = MakeContext();
+    PlaceTasks(owner, context);
+  }
+
+  /// Returns the targets of the next request. The policy approves those of them
+  /// that are in `allowed`.
+  std::vector<std::string> Request(const std::set<std::string>& allowed) {
+    now += seconds(2);  // The last approval has expired.
+    for (auto& [id, target] : owner.targets) target.last_reply_at = now;
+    out.clear();
+    Place();
+    if (out.empty()) return {};
+    const ApprovalRequest request = std::get<ApprovalRequest>(out.front());
+    ApprovalReply reply{.answered = true, .valid_ms = 1500};
+    for (const std::string& target : request.targets) {
+      if (allowed.contains(target)) reply.tickets[target] = "ticket";
+    }
+    Context context = MakeContext();
+    REQUIRE(HandleApprovalReply(owner, request.id, reply, context));
+    return request.targets;
+  }
+
+  Context MakeContext() {
+    return {.time = {.now = now, .unix_ms = 90'000},
+            .timing = timing,
+            .configuration = &configuration,
+            .next_id = next_id,
+            .out = out};
+  }
+
+  Instant now = kNow;
+};
+
+std::set<std::string> TargetNames(int first, int last) {
+  std::set<std::string> names;
+  for (int n = first; n <= last; ++n) names.insert(StrCat("i-", n));
+  return names;
+}
+
+// Guards against jobs that are never started because the policy was asked about
+// the same 30 emptiest targets each time, and allows only another one.
+TEST_CASE("approvals are requested for all targets in turn") {
+  ApprovalFixture fixture;
+  CHECK(Distinct(fixture.Request({})) == TargetNames(40, 69));
+  CHECK(Distinct(fixture.Request({})) == TargetNames(10, 39));
+  std::set<std::string> rest = TargetNames(0, 9);
+  rest.merge(TargetNames(50, 69));
+  CHECK(Distinct(fixture.Request({"i-3"})) == rest);
+  fixture.Place();
+  CHECK(fixture.AssignedTargets(kFirstJob) == std::vector<std::string>{"i-3"});
+}
+
+TEST_CASE("a new turn of approvals begins with the emptiest targets") {
+  ApprovalFixture fixture;
+  for (int n = 0; n < 3; ++n) fixture.Request({});
+  // The last request of the turn had room for 20 targets of the next one.
+  CHECK(Distinct(fixture.Request({})) == TargetNames(20, 49));
+}
+
+TEST_CASE("an approved target with room is requested again at once") {
+  ApprovalFixture fixture;
+  fixture.Request({"i-60"});
+  const std::vector<std::string> targets = fixture.Request({});
+  CHECK(targets.size() == 30);
+  CHECK(Distinct(targets).contains("i-60"));
+}
+
+TEST_CASE("an approved target without room waits for its turn") {
+  ApprovalFixture fixture;
+  fixture.Request({"i-60"});
+  fixture.owner.targets.at("i-60").used.cpu_milli = 4000;
+  CHECK(Distinct(fixture.Request({})) == TargetNames(10, 39));
+}
+
 TEST_CASE("draining, reserved and unresponsive targets get no tasks") {
   PlacementFixture fixture;
   fixture.owner.targets["i-0"].entry.draining = true;
