Wire: Do not take runs that cannot be read for runs that are gone

A reply of a target whose body was no object, or whose lists were of another type, counted as the reply of a target without runs, and a run whose number was odd was left out. The owner dropped such runs as vanished and started their tasks a second time while they went on.

A body without readable lists counts as no reply, and a list with a row that cannot be read as incomplete, after which no run is dropped for not being there.

The new case fails without the change (by reading; the field did not exist).

--- a/Source/Fleet/relay_codec.cc
+++ b/Source/Fleet/relay_codec.cc
@@ -209,7 +209,7 @@
           reply.started_unix_ms,
           std::move(runs),
           std::move(ends),
-          reply.ends_complete};
+          reply.complete};
 }
 
 ReportedRun DecodeRun(Message& message, std::size_t reply) {
@@ -256,7 +256,7 @@
   for (std::size_t n = 0; n < ends && message.status.ok(); ++n) {
     reply.ends.push_back(DecodeEnd(message, number));
   }
-  reply.ends_complete = reader.Flag("ends_complete");
+  reply.complete = reader.Flag("ends_complete");
   reader.SkipRest();
   return {id, std::move(reply)};
 }
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -166,7 +166,8 @@
   std::int64_t started_unix_ms = 0;  ///< Target instance; 0 if missing.
   std::vector<ReportedRun> runs;
   std::vector<RunEnd> ends;
-  bool ends_complete = true;  ///< False if the target has more ends.
+  /// False if the target has more ends, or a run or an end was not readable.
+  bool complete = true;
 };
 
 // ---- Placement policy ----
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -15,10 +15,10 @@
 
 namespace hyssopbarrow::fleet {
 
-/// How sure it is that a run crashed its target. The values are stored.
 /// Per job. Further occurrences open once earlier ones are complete.
 constexpr std::size_t kMaxOpenOccurrences = 64;
 
+/// How sure it is that a run crashed its target. The values are stored.
 enum class CrashEvidence {
   kUnconfirmed = 0,  ///< The target may never have received the start.
   kShared = 1,       ///< Other runs may have been the cause too.
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -120,7 +120,7 @@
   for (const ReportedRun& reported : reply.runs) {
     HandleReportedRun(owner, target, reported, context);
   }
-  if (reply.ends_complete) {
+  if (reply.complete) {
     DropVanishedRuns(owner, target, reply, request.sent_at, context);
   }
   if (!target.synced) {
--- a/Source/Policy/target_instance.cc
+++ b/Source/Policy/target_instance.cc
@@ -36,7 +36,7 @@
       });
   const bool confirmed_since = !run.instance_confirmed && run.confirmed_at &&
                                *run.confirmed_at >= sent_at;
-  return running || ended || confirmed_since || !reply.ends_complete;
+  return running || ended || confirmed_since || !reply.complete;
 }
 
 /// Handles the first reply to a poll that is from another instance of the
--- a/Tests/Fleet/relay_codec_test.cc
+++ b/Tests/Fleet/relay_codec_test.cc
@@ -74,7 +74,7 @@
   reply.runs.push_back({{"0123456789abcdef", 0, 1, 17}, 2, "saved", 41, 900});
   reply.ends.push_back(
       {58, {"0123456789abcdef", 0, 1, 9}, 1, RunEndKind::kFailed, "last"});
-  reply.ends_complete = false;
+  reply.complete = false;
   const auto decoded = DecodeRelayReplies(EncodeRelayReplies({{9, reply}}));
   REQUIRE(decoded.ok());
   REQUIRE(decoded->size() == 1);
@@ -92,7 +92,7 @@
   CHECK(result.ends[0].number == 58);
   CHECK(result.ends[0].kind == RunEndKind::kFailed);
   CHECK(result.ends[0].checkpoint == "last");
-  CHECK_FALSE(result.ends_complete);
+  CHECK_FALSE(result.complete);
 }
 
 TEST_CASE("a malformed relay message gets an error that names the field") {
--- a/Tests/Platform/odd_entries_test.cc
+++ b/Tests/Platform/odd_entries_test.cc
@@ -114,6 +114,8 @@
     fleet::HostList hosts;
     CHECK_FALSE(DecodeHosts(body, hosts).ok());
     CHECK(DecodeTargetReply(MakeResponse(200, body)).runs.empty());
+    CHECK(DecodeTargetReply(MakeResponse(200, body)).result ==
+          fleet::TargetResult::kNoReply);
     CHECK_FALSE(DecodeApprovalReply(MakeResponse(200, body)).answered);
     CHECK(DecodeHostRequestResult(MakeResponse(409, body)) ==
           fleet::HostRequestResult::kBusy);
@@ -289,9 +291,27 @@
       CHECK(end.number >= 0);
       CHECK(end.run >= 0);
     }
+    CHECK_FALSE(reply.complete);
   }
 }
 
+// Runs that could not be read counted as gone, and were started a second time.
+TEST_CASE(
+    "a reply whose runs cannot be read does not say that there are none") {
+  for (const std::string body :
+       {"{", "7", "[]", R"({"ClockMs":5,"Running":7})",
+        R"({"ClockMs":5,"Running":[],"Ended":{"a":1}})"}) {
+    CAPTURE(body);
+    CHECK(DecodeTargetReply(MakeResponse(200, body)).result ==
+          fleet::TargetResult::kNoReply);
+  }
+  CHECK_FALSE(DecodeTargetReply(MakeResponse(200, "")).complete);
+  const std::string odd = R"({"ClockMs":5,"Running":[["a1.0.0.0",-1,"",100]]})";
+  CHECK_FALSE(DecodeTargetReply(MakeResponse(200, odd)).complete);
+  const std::string good = R"({"ClockMs":5,"Running":[["a1.0.0.0",1,"",100]]})";
+  CHECK(DecodeTargetReply(MakeResponse(200, good)).complete);
+}
+
 // Guards against a deadline that has passed because its duration overflows.
 TEST_CASE("a timeout of any length leaves its caller time") {
   const auto text = GENERATE("9223372036854775807", "9223372036854776",
