Jobs: Store the progress of many open tasks in rows of bounded size

If the open tasks of a job may not fit into one row, each range of tasks of an occurrence now has a row of its own, and only rows that differ from the store are written. The number of tasks in a row follows from the worst case of one. Finished occurrences are stored as ranges; a list of them exceeded a row after some 22,000. A new owner finds all it needs whenever the last one died: rows of tasks are written before what replaces them is deleted, dependencies before what depends on them, runs start once their row is stored, and an end is acknowledged once all rows of its job are. Rows of earlier versions are read, and replaced only once all their tasks have rows.

The stand-in store has the limits of the platform's now and refuses with status invalid, as the client does for 400, 403 and 413.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -63,6 +63,8 @@
       return "unavailable";
     case StoreStatus::kUnknown:
       return "unknown";
+    case StoreStatus::kInvalid:
+      return "invalid";
   }
   return "unknown";
 }
--- a/Source/Model/cbor.cc
+++ b/Source/Model/cbor.cc
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kFalse = 20;
 constexpr std::uint64_t kTrue = 21;
 constexpr std::uint64_t kNull = 22;
+/// A type and 8 bytes.
+constexpr std::size_t kMaxHeadSize = 9;
 constexpr std::uint64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
 
 /// The initial bytes of an item: its type, and its value, length or count.
@@ -161,6 +163,16 @@
   return bytes.empty();
 }
 
+/// Size of the initial bytes of an item with this value, length or count.
+std::size_t HeadSize(std::uint64_t argument) {
+  constexpr std::uint64_t kFirstInOneByte = 24;
+  if (argument < kFirstInOneByte) return 1;
+  if (argument <= std::numeric_limits<std::uint8_t>::max()) return 2;
+  if (argument <= std::numeric_limits<std::uint16_t>::max()) return 3;
+  if (argument <= std::numeric_limits<std::uint32_t>::max()) return 5;
+  return kMaxHeadSize;
+}
+
 }  // namespace
 
 std::optional<std::size_t> CborReader::List() {
@@ -239,6 +251,40 @@
   return bytes;
 }
 
+std::size_t CborSize(const nlohmann::json& value) {
+  using nlohmann::json;
+  switch (value.type()) {
+    case json::value_t::object: {
+      std::size_t size = HeadSize(value.size());
+      for (const auto& [name, item] : value.items()) {
+        size += HeadSize(name.size()) + name.size() + CborSize(item);
+      }
+      return size;
+    }
+    case json::value_t::array: {
+      std::size_t size = HeadSize(value.size());
+      for (const json& item : value) size += CborSize(item);
+      return size;
+    }
+    case json::value_t::string: {
+      const std::size_t size = value.get_ref<const std::string&>().size();
+      return HeadSize(size) + size;
+    }
+    case json::value_t::number_integer: {
+      const auto n = value.get<std::int64_t>();
+      return HeadSize(static_cast<std::uint64_t>(n < 0 ? -1 - n : n));
+    }
+    case json::value_t::number_unsigned:
+      return HeadSize(value.get<std::uint64_t>());
+    case json::value_t::number_float:
+      return kMaxHeadSize;
+    case json::value_t::binary:
+      return kMaxHeadSize + kMaxHeadSize + value.get_binary().size();
+    default:
+      return 1;
+  }
+}
+
 nlohmann::json ParseCbor(std::string_view bytes) {
   if (!IsDecodable(bytes)) return nullptr;
   try {
--- a/Source/Model/cbor.h
+++ b/Source/Model/cbor.h
@@ -12,6 +12,10 @@
 
 std::string ToCbor(const nlohmann::json& value);
 
+/// Length of ToCbor(value), found without writing the bytes. Not below it for a
+/// value with binary data or floating-point numbers.
+std::size_t CborSize(const nlohmann::json& value);
+
 /// Returns null for invalid CBOR, for text that is not UTF-8, and for items
 /// that are nested deeper than kMaxNesting.
 nlohmann::json ParseCbor(std::string_view bytes);
--- a/Source/Model/row.h
+++ b/Source/Model/row.h
@@ -51,6 +51,7 @@
   kConflict,     ///< A condition did not hold; nothing was written.
   kUnavailable,  ///< Nothing was written: not sent, or refused by the store.
   kUnknown,      ///< No reply: the transaction may have committed.
+  kInvalid,      ///< Nothing was written: the store takes no such transaction.
 };
 
 /// Reply of the store. `rows` has the rows read if a read returned kOk, and the
--- a/Source/Policy/ceilings_replies.cc
+++ b/Source/Policy/ceilings_replies.cc
@@ -223,6 +223,7 @@
     case StoreStatus::kConflict:
       return DiscardWrite(state, write, reply.rows);
     case StoreStatus::kUnavailable:
+    case StoreStatus::kInvalid:
       state.next_write = state.now + kRetryDelay;
       return DiscardWrite(state, write, {});
     case StoreStatus::kUnknown:  // It may still take effect.
--- a/Source/Policy/changed_jobs.cc
+++ b/Source/Policy/changed_jobs.cc
@@ -19,6 +19,11 @@
   jobs_.emplace(position, id);
 }
 
+void ChangedJobs::PutBack(const std::string& id, std::int64_t position) {
+  jobs_.emplace(position, id);
+  positions_.emplace(id, position);
+}
+
 std::string ChangedJobs::TakeFirst() {
   std::string id = std::move(jobs_.begin()->second);
   jobs_.erase(jobs_.begin());
--- a/Source/Policy/changed_jobs.h
+++ b/Source/Policy/changed_jobs.h
@@ -22,6 +22,10 @@
   /// Puts a job before all others, because a commit of its row has failed.
   void PutFirst(const std::string& id);
 
+  /// Puts a job back to the position at which it was the first, because only
+  /// some of its rows have been taken. It must have been taken since.
+  void PutBack(const std::string& id, std::int64_t position);
+
   /// Removes and returns the first job. There must be one.
   std::string TakeFirst();
 
--- a/Source/Policy/claims.cc
+++ b/Source/Policy/claims.cc
@@ -81,6 +81,7 @@
       case StoreStatus::kConflict:
         return HandleConflict(keys, reply.rows);
       case StoreStatus::kUnavailable:
+      case StoreStatus::kInvalid:
         return ForEachClaim(keys,
                             [&](Claim& claim) { HandleWriteFailure(claim); });
       case StoreStatus::kUnknown:
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -274,6 +274,10 @@
         Answer(call, {.outcome = CallOutcome::kNotAccepted,
                       .detail = "the store does not accept writes"});
         return;
+      case StoreStatus::kInvalid:
+        Answer(call, {.outcome = CallOutcome::kInvalid,
+                      .detail = "the store refuses the row of the job"});
+        return;
       case StoreStatus::kUnknown:
         call.insert_unresolved = true;
         VerifyInsert(call);
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -63,6 +63,15 @@
   Instant due{};
 };
 
+/// Tasks of an occurrence whose progress has a row of its own. They are counted
+/// through all steps.
+struct TaskRange {
+  std::int64_t occurrence = 0;
+  std::int64_t first = 0;
+
+  friend auto operator<=>(const TaskRange&, const TaskRange&) = default;
+};
+
 /// A job and its progress.
 struct Job {
   JobRecord record;
@@ -76,6 +85,11 @@
   bool final_state_stored = false;  ///< The final state is in the store.
   Instant finished_at{};
   std::int64_t next_occurrence = 0;  ///< First one that is not open yet.
+  /// Rows of tasks that may be in the store, with a digest of what they hold;
+  /// 0 if that is not known.
+  std::map<TaskRange, std::uint64_t> task_rows;
+  /// The row of the job in the store may hold the progress of tasks, too.
+  bool tasks_in_job_row = false;
 };
 
 /// An occurrence in which no task is done.
@@ -109,13 +123,6 @@
 /// Estimated milliseconds on the longest path through all steps.
 std::int64_t WholeCriticalPathMs(const JobSpec& spec);
 
-/// The progress row of a job, from which a later owner restores it.
-nlohmann::json ProgressRow(const Job& job);
-
-/// Applies a progress row to a job that was just loaded.
-/// Errors: kInvalidArgument naming the field.
-absl::Status ApplyProgress(const nlohmann::json& row, Instant now, Job& job);
-
 }  // namespace hyssopbarrow::fleet
 
 #endif  // HYSSOPBARROW_POLICY_JOB_TABLE_H_
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -12,6 +12,7 @@
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
+#include "Policy/progress_rows.h"
 #include "Policy/store_keys.h"
 #include "Policy/target_instance.h"
 #include "Policy/target_polls.h"
@@ -103,6 +104,28 @@
   }
 }
 
+/// Applies the progress rows of a job and removes them from those that wait for
+/// their jobs.
+absl::Status RestoreProgress(Owner& owner, Job& job, Context& context) {
+  const std::string& id = job.record.id;
+  absl::Status status;
+  if (auto row = owner.unmatched_progress.extract(id)) {
+    status = ApplyProgress(row.mapped(), context.time.now, job);
+  }
+  const std::string prefix = StrCat(id, ".");
+  auto it = owner.unmatched_progress.lower_bound(prefix);
+  while (it != owner.unmatched_progress.end() &&
+         it->first.starts_with(prefix)) {
+    const auto tasks = ParseTaskRowSuffix(it->first.substr(id.size()));
+    if (tasks.has_value() && status.ok()) {
+      status = ApplyTaskRow(*tasks, it->second, context.time.now, job);
+    }
+    it = owner.unmatched_progress.erase(it);
+  }
+  if (status.ok()) FinishRestoring(job);
+  return status;
+}
+
 void AddJob(Owner& owner, JobRecord record, const Row& row, bool live,
             Context& context) {
   const std::string id = record.id;
@@ -115,25 +138,19 @@
           : std::clamp<std::int64_t>(
                 context.time.unix_ms - job.record.accepted_ms, 0, kMaxJobAgeMs);
   job.accepted_at = context.time.now - milliseconds(age);
-  auto progress = owner.unmatched_progress.find(id);
-  if (progress != owner.unmatched_progress.end()) {
-    const absl::Status status =
-        ApplyProgress(progress->second, context.time.now, job);
-    if (!status.ok()) {
-      // Which tasks are done is unknown, so none may be started.
-      Log(context, Severity::kError, "progress_unreadable",
-          {{"job", id}, {"error", std::string(status.message())}});
-      job.state = JobState::kRunning;
-      owner.unmatched_progress.erase(progress);
-      owner.jobs.emplace(id, std::move(job));
-      return;
-    }
-    if (IsFinal(job.state)) {
-      job.final_state_stored = true;
-      job.finished_at = context.time.now;
-      job.open_occurrences.clear();
-    }
-    owner.unmatched_progress.erase(progress);
+  const absl::Status status = RestoreProgress(owner, job, context);
+  if (!status.ok()) {
+    // Which tasks are done is unknown, so none may be started.
+    Log(context, Severity::kError, "progress_unreadable",
+        {{"job", id}, {"error", std::string(status.message())}});
+    job.state = JobState::kRunning;
+    owner.jobs.emplace(id, std::move(job));
+    return;
+  }
+  if (IsFinal(job.state)) {
+    job.final_state_stored = true;
+    job.finished_at = context.time.now;
+    job.open_occurrences.clear();
   }
   std::vector<std::pair<TaskName, Assignment>> assignments;
   if (!IsFinal(job.state)) {
@@ -150,6 +167,8 @@
          {"revision", std::to_string(row.revision)}});
   }
   Job& added = owner.jobs.emplace(id, std::move(job)).first->second;
+  // Rows of tasks that are finished may be left.
+  if (!added.task_rows.empty()) MarkJobChanged(owner, added);
   owner.placement_due = true;
   for (const auto& [name, assignment] : assignments) {
     RestoreAssignment(owner, added, name, assignment, context);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -21,7 +21,7 @@
 
 namespace hyssopbarrow::fleet {
 
-/// Durations and switches that a deployment configures.
+/// Durations, limits and switches that a deployment configures.
 struct TimingSettings {
   /// Longest lease that targets accept; they shorten longer ones to it.
   Duration max_lease = std::chrono::seconds(10);
@@ -35,6 +35,8 @@
   Duration host_request_gap = std::chrono::seconds(3);
   /// How long callers can query the final state of a job.
   Duration final_state_retention = std::chrono::seconds(120);
+  /// Largest value of a row that the store takes.
+  std::int64_t max_row_bytes = 65'536;
   bool approvals_enabled = false;  ///< A placement policy answers requests.
 
   friend bool operator==(const TimingSettings&,
@@ -227,11 +229,26 @@
   friend bool operator==(const UnstoredEnd&, const UnstoredEnd&) = default;
 };
 
+/// What a commit writes to the row of a job.
+struct JobRowWrite {
+  bool written = false;  ///< Some rows of its tasks may come first.
+  bool final_state = false;
+  bool has_tasks = false;  ///< The row holds the progress of tasks.
+};
+
+/// What a commit does with the row of some tasks of a job.
+struct TaskRowWrite {
+  std::string job;
+  TaskRange tasks;
+  std::uint64_t digest = 0;  ///< Of what it writes; 0 if it deletes the row.
+};
+
 /// A commit whose reply is awaited.
 struct PendingCommit {
   std::int64_t id = 0;
   Instant sent_at{};
-  std::map<std::string, bool> jobs;  ///< Whether the state written is final.
+  std::map<std::string, JobRowWrite> jobs;
+  std::vector<TaskRowWrite> task_rows;
   std::vector<std::string> removed_jobs;  ///< Jobs whose rows are deleted.
   std::map<std::int64_t, bool> waves;     ///< Whether written as completed.
   std::deque<UnstoredEnd> ends;           ///< Whose effect it stores.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -3,13 +3,17 @@
 #include <algorithm>
 #include <deque>
 #include <iterator>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "Model/text.h"
 #include "Policy/host_manager.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
+#include "Policy/progress_rows.h"
+#include "Policy/row_sizes.h"
 #include "Policy/store_keys.h"
 #include "Policy/target_polls.h"
 
@@ -20,6 +24,8 @@
 
 /// The store accepts 100 entries in a commit.
 constexpr std::size_t kMaxCommitRows = 80;
+/// Of one job, so that a job with many tasks does not hold up others.
+constexpr std::size_t kMaxJobRows = 40;
 /// Lets run ends that arrive together share a commit that is not full.
 constexpr Duration kMinCommitInterval = milliseconds(8);
 constexpr Duration kCommitRetryDelay = milliseconds(100);
@@ -32,19 +38,71 @@
 /// How long job rows are kept beyond the retention promised to callers.
 constexpr Duration kRetentionMargin = milliseconds(30'000);
 
-/// Adds the planned runs of a job, which start once its row is stored.
-void CollectStarts(const Owner& owner, Job& job, PendingCommit& pending) {
+/// Adds the planned runs of a job, which start once its rows are stored. Leaves
+/// out those in rows that did not fit into the commit, from `end` on.
+void CollectStarts(const Owner& owner, Job& job,
+                   const std::optional<TaskRange>& end,
+                   PendingCommit& pending) {
   ForEachTask(job, [&](const TaskName& name, const Task& task) {
     for (const Assignment& assignment : task.assignments) {
       const auto& runs = owner.targets.at(assignment.target).runs;
       const auto run = runs.find(name);
       const bool planned =
           run != runs.end() && run->second.phase == RunPhase::kPlanned;
-      if (planned) pending.starts_to_send.emplace_back(name, assignment);
+      const bool written = !end.has_value() || PositionOf(job, name) < *end;
+      if (planned && written) {
+        pending.starts_to_send.emplace_back(name, assignment);
+      }
     }
   });
 }
 
+/// Adds rows of a job that differ from those in the store, and the runs that
+/// start once these are stored. Returns false if some did not fit.
+bool AddJobRows(const Owner& owner, Job& job, PendingCommit& pending,
+                CommitRows& commit, const Context& context) {
+  const std::string& id = job.record.id;
+  const std::int64_t tasks_per_row =
+      TasksPerRow(job.record, context.timing.max_row_bytes);
+  const TaskRowChanges changes = FindTaskRowChanges(job, tasks_per_row);
+  const std::size_t max_rows =
+      std::min(commit.writes.size() + kMaxJobRows, kMaxCommitRows);
+  const auto add = [&](const TaskRange& tasks, nlohmann::json value,
+                       std::uint64_t digest) {
+    commit.writes.emplace_back(
+        RowRef{Table::kProgress, StrCat(id, TaskRowSuffix(tasks))},
+        std::move(value));
+    pending.task_rows.push_back({.job = id, .tasks = tasks, .digest = digest});
+  };
+  std::optional<TaskRange> first_left;
+  for (const auto& [tasks, digest] : changes.written) {
+    // Leaves room for the row of the job.
+    if (commit.writes.size() + 1 >= max_rows) {
+      first_left = tasks;
+      break;
+    }
+    add(tasks, TaskRow(job, tasks, tasks_per_row), digest);
+  }
+  CollectStarts(owner, job, first_left, pending);
+  JobRowWrite& job_row = pending.jobs[id];
+  // The row of the job may be the only one with the progress of tasks whose
+  // rows are left.
+  if (first_left.has_value() && job.tasks_in_job_row) return false;
+  commit.writes.emplace_back(RowRef{Table::kProgress, id},
+                             ProgressRow(job, !changes.split));
+  job_row = {.written = true,
+             .final_state = IsFinal(job.state),
+             .has_tasks = !changes.split && !job.open_occurrences.empty()};
+  if (first_left.has_value()) return false;
+  // A row that says that an occurrence is finished comes before the deletion
+  // of those of its tasks.
+  for (const TaskRange& tasks : changes.removed) {
+    if (commit.writes.size() >= max_rows) return false;
+    add(tasks, nullptr, 0);
+  }
+  return true;
+}
+
 /// Sends the starts whose assignments the commit has stored.
 void SendStoredStarts(Owner& owner, const PendingCommit& pending,
                       Context& context) {
@@ -130,7 +188,7 @@
       context.timing.final_state_retention + kRetentionMargin;
   for (const auto& [id, job] : owner.jobs) {
     if (commit.writes.size() + 3 > kMaxCommitRows) return;
-    const bool expired = job.final_state_stored &&
+    const bool expired = job.final_state_stored && job.task_rows.empty() &&
                          job.finished_at + retention < context.time.now;
     if (!expired) continue;
     pending.removed_jobs.push_back(id);
@@ -143,9 +201,20 @@
 
 void HandleCommitSuccess(Owner& owner, const PendingCommit& pending,
                          Context& context) {
-  for (const auto& [id, final] : pending.jobs) {
+  for (const auto& [id, row] : pending.jobs) {
     auto it = owner.jobs.find(id);
-    if (it != owner.jobs.end() && final) it->second.final_state_stored = true;
+    if (it == owner.jobs.end() || !row.written) continue;
+    if (row.final_state) it->second.final_state_stored = true;
+    it->second.tasks_in_job_row = row.has_tasks;
+  }
+  for (const TaskRowWrite& row : pending.task_rows) {
+    auto it = owner.jobs.find(row.job);
+    if (it == owner.jobs.end()) continue;
+    if (row.digest == 0) {
+      it->second.task_rows.erase(row.tasks);
+    } else {
+      it->second.task_rows[row.tasks] = row.digest;
+    }
   }
   SendStoredStarts(owner, pending, context);
   for (const std::string& id : pending.removed_jobs) owner.jobs.erase(id);
@@ -160,7 +229,17 @@
   for (UnstoredEnd& end : pending.ends) {
     end.changes_end = owner.changed_jobs.FirstPosition();
   }
-  for (const auto& [id, final] : pending.jobs) owner.changed_jobs.PutFirst(id);
+  for (const auto& [id, row] : pending.jobs) {
+    owner.changed_jobs.PutFirst(id);
+    auto it = owner.jobs.find(id);
+    if (it == owner.jobs.end()) continue;
+    if (row.has_tasks) it->second.tasks_in_job_row = true;
+  }
+  // The commit may take effect all the same.
+  for (const TaskRowWrite& row : pending.task_rows) {
+    auto it = owner.jobs.find(row.job);
+    if (it != owner.jobs.end()) it->second.task_rows[row.tasks] = 0;
+  }
   owner.unstored_ends.insert(owner.unstored_ends.begin(), pending.ends.begin(),
                              pending.ends.end());
   for (const auto& [number, completed] : pending.waves) {
@@ -179,13 +258,19 @@
   if (!MayCommit(owner, context.time.now)) return;
   PendingCommit pending;
   CommitRows commit;
-  while (!owner.changed_jobs.empty() && commit.writes.size() < kMaxCommitRows) {
+  std::vector<std::pair<std::int64_t, std::string>> incomplete_jobs;
+  // A job takes two rows at least if its tasks have rows of their own.
+  while (!owner.changed_jobs.empty() &&
+         commit.writes.size() + 1 < kMaxCommitRows) {
+    const std::int64_t position = owner.changed_jobs.FirstPosition();
     auto it = owner.jobs.find(owner.changed_jobs.TakeFirst());
     if (it == owner.jobs.end()) continue;
-    auto& [id, job] = *it;
-    commit.writes.emplace_back(RowRef{Table::kProgress, id}, ProgressRow(job));
-    pending.jobs[id] = IsFinal(job.state);
-    CollectStarts(owner, job, pending);
+    if (!AddJobRows(owner, it->second, pending, commit, context)) {
+      incomplete_jobs.emplace_back(position, it->first);
+    }
+  }
+  for (const auto& [position, id] : incomplete_jobs) {
+    owner.changed_jobs.PutBack(id, position);
   }
   pending.rows_left = owner.changed_jobs.size();
   pending.ends = TakeCoveredEnds(owner);
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -166,6 +166,7 @@
       return;
     case StoreStatus::kUnavailable:
     case StoreStatus::kUnknown:
+    case StoreStatus::kInvalid:
       break;
   }
   ownership.next_renewal = context.time.now + kRenewalRetryDelay;
--- a/Source/Standalone/row_store.cc
+++ b/Source/Standalone/row_store.cc
@@ -3,12 +3,24 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "Model/cbor.h"
+
 namespace hyssopbarrow::fleet {
 namespace {
 
 /// Limit on the change history; takes a few megabytes.
 constexpr std::size_t kMaxKeptChanges = 20'000;
 
+/// Names around the key and value of an entry.
+constexpr std::size_t kEntryBytes = 64;
+
+std::size_t Base64Size(std::size_t size) { return (size + 2) / 3 * 4; }
+
+/// Progress is stored in CBOR, everything else in JSON.
+std::size_t ValueSize(const RowRef& ref, const nlohmann::json& value) {
+  return ref.table == Table::kProgress ? CborSize(value) : value.dump().size();
+}
+
 }  // namespace
 
 StoreRows RowStore::Read(const ReadRows& request) const {
@@ -39,6 +51,10 @@
 
 StoreRows RowStore::Commit(const CommitRows& commit) {
   StoreRows out;
+  if (!Takes(commit)) {
+    out.status = StoreStatus::kInvalid;
+    return out;
+  }
   for (const auto& [ref, expected] : commit.conditions) {
     const Row* row = Find(ref);
     if ((row == nullptr ? 0 : row->revision) == expected) continue;
@@ -67,6 +83,19 @@
   return out;
 }
 
+bool RowStore::Takes(const CommitRows& commit) {
+  std::size_t bytes = kEntryBytes * commit.conditions.size();
+  for (const auto& [ref, value] : commit.writes) {
+    std::size_t size = 0;
+    if (!value.is_null()) size = ValueSize(ref, value);
+    largest_row_bytes_ = std::max(largest_row_bytes_, size);
+    if (size > limits_.max_row_bytes) return false;
+    bytes += kEntryBytes + ref.key.size() + Base64Size(size);
+  }
+  return bytes <= limits_.max_commit_bytes &&
+         commit.conditions.size() + commit.writes.size() <= limits_.max_entries;
+}
+
 const Row* RowStore::Find(const RowRef& ref) const {
   auto it = rows_.find(ref);
   return it == rows_.end() ? nullptr : &it->second;
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -42,8 +42,11 @@
   return spec;
 }
 
-FleetSimulation::FleetSimulation(std::uint64_t seed, int entries, int targets)
-    : rng_(seed) {
+FleetSimulation::FleetSimulation(std::uint64_t seed, int entries, int targets,
+                                 const StoreLimits& limits)
+    : rng_(seed),
+      max_row_bytes_(static_cast<std::int64_t>(limits.max_row_bytes)),
+      store_(limits) {
   configuration_.version = 1;
   configuration_.pools["desk"] = {.name = "desk"};
   configuration_.queues.push_back({.name = "book",
@@ -134,6 +137,7 @@
   SimulatedEntry& host = entries_[ToIndex(n)];
   ++host.instance;
   host.state = std::make_unique<EntryState>();
+  host.state->timing.max_row_bytes = max_row_bytes_;
   const std::string node = StrCat("node-", n);
   host.state->self = {.node = node,
                       .holder = StrCat(node, "@", host.instance),
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -36,7 +36,9 @@
 /// `violations` for each violation.
 class FleetSimulation {
  public:
-  FleetSimulation(std::uint64_t seed, int entries, int targets);
+  /// The entry hosts know the limit on the rows of the store.
+  FleetSimulation(std::uint64_t seed, int entries, int targets,
+                  const StoreLimits& limits = {});
 
   /// Advances virtual time by `duration`.
   void Run(Duration duration);
@@ -101,6 +103,9 @@
   /// Index of the entry host that owns the fleet; -1 if none does.
   int OwnerIndex() const;
   const EntryState& entry(int n) const { return *entries_[ToIndex(n)].state; }
+  const RowStore& store() const { return store_; }
+  /// Lowers the limits of the store, which the entry hosts are not told.
+  void LimitStore(const StoreLimits& limits) { store_.SetLimits(limits); }
 
   /// State reported to callers; pending if there is no owner or no such job.
   JobState StateOf(const std::string& id) const;
@@ -217,6 +222,7 @@
   std::multimap<std::int64_t, std::function<void()>> events_;
   std::vector<SimulatedEntry> entries_;
   std::vector<SimulatedTarget> targets_;
+  std::int64_t max_row_bytes_;
   RowStore store_;
   bool store_down_ = false;
   Configuration configuration_;
--- a/Tests/Fleet/job_table_test.cc
+++ b/Tests/Fleet/job_table_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "Fleet/fleet_simulation.h"
+#include "Policy/progress_rows.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
--- a/Tests/Fleet/row_store_test.cc
+++ b/Tests/Fleet/row_store_test.cc
@@ -23,6 +23,18 @@
   CHECK(store.Find({Table::kJobs, "a"})->revision == 1);
 }
 
+TEST_CASE("a commit that exceeds a limit is invalid and changes nothing") {
+  RowStore store(
+      {.max_row_bytes = 20, .max_commit_bytes = 1000, .max_entries = 3});
+  CommitRows commit = CommitOf(1);
+  SECTION("value") { commit.writes[0].second = std::string(19, 'x'); }
+  SECTION("entries") { commit.writes.resize(4, commit.writes[0]); }
+  SECTION("bytes") { commit.writes[0].first.key.assign(1000, 'k'); }
+  CHECK(store.Commit(commit).status == StoreStatus::kInvalid);
+  CHECK(store.revision() == 0);
+  CHECK(store.Commit(CommitOf(1)).status == StoreStatus::kOk);
+}
+
 TEST_CASE("a watch returns later changes, or that their history is lost") {
   RowStore store;
   for (std::int64_t n = 0; n < 20'002; ++n) store.Commit(CommitOf(n));
--- a/Tests/Platform/settings_test.cc
+++ b/Tests/Platform/settings_test.cc
@@ -49,10 +49,18 @@
   CHECK(settings->host.stop_timeout == std::chrono::seconds(5));
   CHECK(settings->host.timing.max_lease == std::chrono::seconds(9));
   CHECK(settings->host.timing.host_move == std::chrono::milliseconds(1500));
+  CHECK(settings->host.timing.max_row_bytes == 65'536);
   CHECK(settings->has_approvals);
   CHECK(settings->store == Address{"10.200.1.7", 8344});
 }
 
+TEST_CASE("the settings say how large a row of the store may be") {
+  const auto settings =
+      ParseSettings(SettingsWith("[platform]", "[platform]\nRowBytes = 32768"));
+  REQUIRE(settings.ok());
+  CHECK(settings->host.timing.max_row_bytes == 32'768);
+}
+
 TEST_CASE("the settings of relays and of the store's partitions are optional") {
   const auto plain = ParseSettings(kValidSettings);
   REQUIRE(plain.ok());
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -221,6 +221,9 @@
   CHECK(status(503, "").status == StoreStatus::kUnavailable);
   CHECK(status(429, "").status == StoreStatus::kUnavailable);
   CHECK(status(500, "").status == StoreStatus::kUnknown);
+  CHECK(status(400, "").status == StoreStatus::kInvalid);
+  CHECK(status(403, "").status == StoreStatus::kInvalid);
+  CHECK(status(413, "").status == StoreStatus::kInvalid);
   CHECK(status(200, "{").status == StoreStatus::kUnknown);
   CHECK(status(410, "").history_lost);
 }
--- a/Utilities/Benchmarks/commit_bench.cc
+++ b/Utilities/Benchmarks/commit_bench.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "Policy/job_table.h"
+#include "Policy/progress_rows.h"
 #include "store_wire.h"
 
 DEFINE_int32(rows, 40, "progress rows in a commit");
