Jobs: Isolate a row that the store refuses

A commit refused as invalid is sent again with half of its jobs, down to one, whose job is isolated: the row is logged with key and size (row_refused) and counted (rows_refused_total), and tried again apart from all others. Its ends, and later ones of the same targets, are not acknowledged until its rows are stored.

--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -49,6 +49,13 @@
               static_cast<double>(owner.active_jobs.size()));
   AppendGauge(out, "jobs_unstored", "Jobs whose progress waits for a commit.",
               static_cast<double>(owner.changed_jobs.size()));
+  AppendGauge(
+      out, "jobs_isolated",
+      "Jobs committed apart because the store refuses one of their rows.",
+      static_cast<double>(owner.isolated_jobs.size()));
+  AppendGauge(out, "rows_refused_total",
+              "Rows kept out of commits because the store refuses them.",
+              static_cast<double>(owner.refused_row_count));
   AppendGauge(out, "runs", "Runs on the books.", static_cast<double>(runs));
   AppendGauge(out, "targets", "Targets known.",
               static_cast<double>(owner.targets.size()));
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -21,6 +21,9 @@
 
 namespace hyssopbarrow::fleet {
 
+/// Most rows in a commit. The store accepts 100 entries.
+constexpr std::size_t kMaxCommitRows = 80;
+
 /// Durations, limits and switches that a deployment configures.
 struct TimingSettings {
   /// Longest lease that targets accept; they shorten longer ones to it.
@@ -225,6 +228,7 @@
   std::int64_t started_unix_ms = 0;  ///< Instance of the target.
   std::int64_t number = 0;           ///< As RunEnd::number.
   std::int64_t changes_end = 0;
+  std::string job;  ///< Of the run.
 
   friend bool operator==(const UnstoredEnd&, const UnstoredEnd&) = default;
 };
@@ -249,6 +253,8 @@
   Instant sent_at{};
   std::map<std::string, JobRowWrite> jobs;
   std::vector<TaskRowWrite> task_rows;
+  std::string largest_key;  ///< Of the row with the largest value.
+  std::int64_t largest_bytes = 0;
   std::vector<std::string> removed_jobs;  ///< Jobs whose rows are deleted.
   std::map<std::int64_t, bool> waves;     ///< Whether written as completed.
   std::deque<UnstoredEnd> ends;           ///< Whose effect it stores.
@@ -344,6 +350,15 @@
 
   ChangedJobs changed_jobs;
   std::optional<PendingCommit> pending_commit;
+  /// Jobs with a row that the store refuses, and when it is tried again, apart
+  /// from all others.
+  std::map<std::string, Instant> isolated_jobs;
+  std::int64_t refused_row_count = 0;  ///< Times that a row was isolated.
+  /// Most jobs in the next commit. Lowered to find the row because of which the
+  /// store refused a commit.
+  std::size_t commit_job_limit = kMaxCommitRows;
+  /// The next commit holds only rows of waves, for the same purpose.
+  bool commit_waves_alone = false;
   /// Store revision of the last commit; `epoch_revision` before the first one.
   std::int64_t commit_revision = 0;
   std::int64_t commit_sequence = 0;  ///< Commits sent by this owner.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -3,17 +3,16 @@
 #include <algorithm>
 #include <deque>
 #include <iterator>
-#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
 #include "Model/text.h"
+#include "Policy/commit_rows.h"
 #include "Policy/host_manager.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
-#include "Policy/progress_rows.h"
-#include "Policy/row_sizes.h"
 #include "Policy/store_keys.h"
 #include "Policy/target_polls.h"
 
@@ -22,10 +21,6 @@
 
 using std::chrono::milliseconds;
 
-/// The store accepts 100 entries in a commit.
-constexpr std::size_t kMaxCommitRows = 80;
-/// Of one job, so that a job with many tasks does not hold up others.
-constexpr std::size_t kMaxJobRows = 40;
 /// Lets run ends that arrive together share a commit that is not full.
 constexpr Duration kMinCommitInterval = milliseconds(8);
 constexpr Duration kCommitRetryDelay = milliseconds(100);
@@ -38,71 +33,6 @@
 /// How long job rows are kept beyond the retention promised to callers.
 constexpr Duration kRetentionMargin = milliseconds(30'000);
 
-/// Adds the planned runs of a job, which start once its rows are stored. Leaves
-/// out those in rows that did not fit into the commit, from `end` on.
-void CollectStarts(const Owner& owner, Job& job,
-                   const std::optional<TaskRange>& end,
-                   PendingCommit& pending) {
-  ForEachTask(job, [&](const TaskName& name, const Task& task) {
-    for (const Assignment& assignment : task.assignments) {
-      const auto& runs = owner.targets.at(assignment.target).runs;
-      const auto run = runs.find(name);
-      const bool planned =
-          run != runs.end() && run->second.phase == RunPhase::kPlanned;
-      const bool written = !end.has_value() || PositionOf(job, name) < *end;
-      if (planned && written) {
-        pending.starts_to_send.emplace_back(name, assignment);
-      }
-    }
-  });
-}
-
-/// Adds rows of a job that differ from those in the store, and the runs that
-/// start once these are stored. Returns false if some did not fit.
-bool AddJobRows(const Owner& owner, Job& job, PendingCommit& pending,
-                CommitRows& commit, const Context& context) {
-  const std::string& id = job.record.id;
-  const std::int64_t tasks_per_row =
-      TasksPerRow(job.record, context.timing.max_row_bytes);
-  const TaskRowChanges changes = FindTaskRowChanges(job, tasks_per_row);
-  const std::size_t max_rows =
-      std::min(commit.writes.size() + kMaxJobRows, kMaxCommitRows);
-  const auto add = [&](const TaskRange& tasks, nlohmann::json value,
-                       std::uint64_t digest) {
-    commit.writes.emplace_back(
-        RowRef{Table::kProgress, StrCat(id, TaskRowSuffix(tasks))},
-        std::move(value));
-    pending.task_rows.push_back({.job = id, .tasks = tasks, .digest = digest});
-  };
-  std::optional<TaskRange> first_left;
-  for (const auto& [tasks, digest] : changes.written) {
-    // Leaves room for the row of the job.
-    if (commit.writes.size() + 1 >= max_rows) {
-      first_left = tasks;
-      break;
-    }
-    add(tasks, TaskRow(job, tasks, tasks_per_row), digest);
-  }
-  CollectStarts(owner, job, first_left, pending);
-  JobRowWrite& job_row = pending.jobs[id];
-  // The row of the job may be the only one with the progress of tasks whose
-  // rows are left.
-  if (first_left.has_value() && job.tasks_in_job_row) return false;
-  commit.writes.emplace_back(RowRef{Table::kProgress, id},
-                             ProgressRow(job, !changes.split));
-  job_row = {.written = true,
-             .final_state = IsFinal(job.state),
-             .has_tasks = !changes.split && !job.open_occurrences.empty()};
-  if (first_left.has_value()) return false;
-  // A row that says that an occurrence is finished comes before the deletion
-  // of those of its tasks.
-  for (const TaskRange& tasks : changes.removed) {
-    if (commit.writes.size() >= max_rows) return false;
-    add(tasks, nullptr, 0);
-  }
-  return true;
-}
-
 /// Sends the starts whose assignments the commit has stored.
 void SendStoredStarts(Owner& owner, const PendingCommit& pending,
                       Context& context) {
@@ -140,7 +70,8 @@
 }
 
 /// Removes and returns the ends whose effect will be stored with the jobs that
-/// have been taken from Owner::changed_jobs.
+/// have been taken from Owner::changed_jobs. Ends in isolated jobs stay, and so
+/// do later ends of the same targets, which acknowledge the earlier ones.
 std::deque<UnstoredEnd> TakeCoveredEnds(Owner& owner) {
   const std::int64_t taken = owner.changed_jobs.FirstPosition();
   auto first_uncovered = std::find_if(
@@ -150,6 +81,17 @@
       std::make_move_iterator(owner.unstored_ends.begin()),
       std::make_move_iterator(first_uncovered));
   owner.unstored_ends.erase(owner.unstored_ends.begin(), first_uncovered);
+  if (owner.isolated_jobs.empty()) return covered;
+  std::set<std::string> held_targets;
+  const auto held = std::stable_partition(
+      covered.begin(), covered.end(), [&](const UnstoredEnd& end) {
+        if (owner.isolated_jobs.contains(end.job)) {
+          held_targets.insert(end.target);
+        }
+        return !held_targets.contains(end.target);
+      });
+  owner.unstored_ends.insert(owner.unstored_ends.begin(), held, covered.end());
+  covered.erase(held, covered.end());
   return covered;
 }
 
@@ -170,18 +112,6 @@
   }
 }
 
-void AddWaveWrites(Owner& owner, PendingCommit& pending, CommitRows& commit) {
-  for (auto& [number, view] : owner.host_manager.waves) {
-    if (view.progress_stored) continue;
-    const std::string key = StrCat(kWavePrefix, number);
-    commit.writes.push_back(
-        {{Table::kProgress, key},
-         {{"done", view.done_hosts}, {"seen_ms", view.first_seen_unix_ms}}});
-    pending.waves[number] = view.completed;
-    view.progress_stored = true;
-  }
-}
-
 void AddExpiredJobRemovals(Owner& owner, PendingCommit& pending,
                            CommitRows& commit, Context& context) {
   const Duration retention =
@@ -202,6 +132,8 @@
 void HandleCommitSuccess(Owner& owner, const PendingCommit& pending,
                          Context& context) {
   for (const auto& [id, row] : pending.jobs) {
+    // Other rows of an isolated job, and its ends, wait for the next commit.
+    if (owner.isolated_jobs.erase(id) > 0) owner.changed_jobs.PutFirst(id);
     auto it = owner.jobs.find(id);
     if (it == owner.jobs.end() || !row.written) continue;
     if (row.final_state) it->second.final_state_stored = true;
@@ -224,9 +156,10 @@
   }
 }
 
-void HandleCommitFailure(Owner& owner, PendingCommit pending) {
+void HandleCommitFailure(Owner& owner, const PendingCommit& pending) {
   // The jobs that are put back may be stored in any order.
-  for (UnstoredEnd& end : pending.ends) {
+  std::deque<UnstoredEnd> ends = pending.ends;
+  for (UnstoredEnd& end : ends) {
     end.changes_end = owner.changed_jobs.FirstPosition();
   }
   for (const auto& [id, row] : pending.jobs) {
@@ -240,13 +173,36 @@
     auto it = owner.jobs.find(row.job);
     if (it != owner.jobs.end()) it->second.task_rows[row.tasks] = 0;
   }
-  owner.unstored_ends.insert(owner.unstored_ends.begin(), pending.ends.begin(),
-                             pending.ends.end());
+  owner.unstored_ends.insert(owner.unstored_ends.begin(), ends.begin(),
+                             ends.end());
   for (const auto& [number, completed] : pending.waves) {
     owner.host_manager.waves[number].progress_stored = false;
   }
 }
 
+/// Narrows down which row made the store refuse a commit, and isolates its job
+/// once it was committed alone.
+void HandleRefusedCommit(Owner& owner, const PendingCommit& pending,
+                         Context& context) {
+  const std::size_t jobs = pending.jobs.size();
+  if (jobs > 0 && !pending.waves.empty()) {
+    owner.commit_waves_alone = true;
+  } else if (jobs > 1) {
+    owner.commit_job_limit = jobs / 2;
+  } else if (jobs == 1) {
+    IsolateJob(owner, pending.jobs.begin()->first, pending.largest_key,
+               pending.largest_bytes, context);
+    owner.commit_job_limit = kMaxCommitRows;
+  } else if (!pending.waves.empty()) {
+    RecordRefusedRow(owner, pending.largest_key, pending.largest_bytes,
+                     context);
+    for (const auto& [number, completed] : pending.waves) {
+      owner.host_manager.waves[number].progress_stored = true;
+    }
+    owner.commit_waves_alone = false;
+  }
+}
+
 }  // namespace
 
 bool MayCommit(const Owner& owner, Instant now) {
@@ -256,26 +212,22 @@
 
 void CommitChanges(Owner& owner, Context& context, bool sweep) {
   if (!MayCommit(owner, context.time.now)) return;
-  PendingCommit pending;
-  CommitRows commit;
-  std::vector<std::pair<std::int64_t, std::string>> incomplete_jobs;
-  // A job takes two rows at least if its tasks have rows of their own.
-  while (!owner.changed_jobs.empty() &&
-         commit.writes.size() + 1 < kMaxCommitRows) {
-    const std::int64_t position = owner.changed_jobs.FirstPosition();
-    auto it = owner.jobs.find(owner.changed_jobs.TakeFirst());
-    if (it == owner.jobs.end()) continue;
-    if (!AddJobRows(owner, it->second, pending, commit, context)) {
-      incomplete_jobs.emplace_back(position, it->first);
-    }
+  Draft draft;
+  PendingCommit& pending = draft.pending;
+  CommitRows& commit = draft.commit;
+  if (owner.commit_waves_alone) {
+    AddWaveWrites(owner, draft, context);
+    owner.commit_waves_alone = !commit.writes.empty();
   }
-  for (const auto& [position, id] : incomplete_jobs) {
-    owner.changed_jobs.PutBack(id, position);
+  const bool alone =
+      owner.commit_waves_alone || AddIsolatedJob(owner, draft, context);
+  if (!alone) {
+    AddChangedJobs(owner, draft, context);
+    pending.ends = TakeCoveredEnds(owner);
+    AddWaveWrites(owner, draft, context);
+    if (sweep) AddExpiredJobRemovals(owner, pending, commit, context);
   }
   pending.rows_left = owner.changed_jobs.size();
-  pending.ends = TakeCoveredEnds(owner);
-  AddWaveWrites(owner, pending, commit);
-  if (sweep) AddExpiredJobRemovals(owner, pending, commit, context);
   if (commit.writes.empty()) {
     // Ends that changed no row need no commit.
     MarkEndsStored(owner, pending.ends, context);
@@ -310,6 +262,9 @@
     RecordCommit(owner.load, pending.jobs.size(), pending.rows_left,
                  context.time.now - pending.sent_at);
     owner.commit_revision = reply.revision;
+    owner.commit_waves_alone = false;
+    owner.commit_job_limit =
+        std::min(kMaxCommitRows, 2 * owner.commit_job_limit);
     const bool full = pending.rows_left > 0;
     owner.next_commit =
         full ? context.time.now : context.time.now + kMinCommitInterval;
@@ -318,7 +273,12 @@
     HandleCommitSuccess(owner, pending, context);
     return true;
   }
-  HandleCommitFailure(owner, std::move(pending));
+  HandleCommitFailure(owner, pending);
+  if (reply.status == StoreStatus::kInvalid) {
+    HandleRefusedCommit(owner, pending, context);
+    owner.next_commit = context.time.now + kMinCommitInterval;
+    return true;
+  }
   const bool unanswered = reply.status == StoreStatus::kUnknown;
   if (unanswered) owner.commit_timeout *= 2;
   owner.next_commit =
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -110,7 +110,8 @@
         {.target = target.entry.id,
          .started_unix_ms = target.entry.started_unix_ms,
          .number = end.number,
-         .changes_end = owner.changed_jobs.EndPosition()});
+         .changes_end = owner.changed_jobs.EndPosition(),
+         .job = end.task.job});
   }
   // An acknowledgement in the numbers of an earlier instance counts for none.
   if (request.started_unix_ms == target.entry.started_unix_ms) {
--- a/Source/Policy/progress_rows.cc
+++ b/Source/Policy/progress_rows.cc
@@ -309,7 +309,8 @@
 }
 
 bool IsOpenOrNew(const Job& job, std::int64_t occurrence) {
-  return !IsFinal(job.state) && occurrence < OccurrenceCount(job) &&
+  return !IsFinal(job.state) && occurrence >= 0 &&
+         occurrence < OccurrenceCount(job) &&
          job.finished_occurrences.count(occurrence) == 0;
 }
 
