Jobs: Refuse jobs whose rows the store can never hold

By reading: callers get no answer until their deadline, and then that the outcome is unknown, for a job whose row is larger than the store takes (steps with thousands of repeated dependencies), as a refused insert counted as unanswered. And what a target or a change of the configuration added to a task's progress (checkpoints, failures) was without bound, so no size of its row was certain.

A job is now refused at submission with the field that is too large if its own row, or the worst case of one task's progress, exceeds the limit.

--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -5,6 +5,7 @@
 
 #include "Policy/entry_internal.h"
 #include "Policy/relays.h"
+#include "Policy/row_sizes.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -98,6 +99,35 @@
   AdvanceAll(entry, context);
 }
 
+bool IsTooLong(const std::string& checkpoint) {
+  return checkpoint.size() > kMaxCheckpointBytes;
+}
+
+/// Drops the checkpoints of a reply that progress rows have no room for. Their
+/// tasks resume from an earlier one.
+void DropLongCheckpoints(TargetReply& reply, Context& context) {
+  for (ReportedRun& run : reply.runs) {
+    if (IsTooLong(run.checkpoint)) run.checkpoint.clear();
+  }
+  for (RunEnd& end : reply.ends) {
+    if (!IsTooLong(end.checkpoint)) continue;
+    Log(context, Severity::kWarn, "checkpoint_too_long",
+        {{"task", ToString(end.task)},
+         {"run", std::to_string(end.run)},
+         {"bytes", std::to_string(end.checkpoint.size())},
+         {"limit", std::to_string(kMaxCheckpointBytes)}});
+    end.checkpoint.clear();
+  }
+}
+
+bool HasLongCheckpoint(const TargetReply& reply) {
+  const auto is_too_long = [](const auto& item) {
+    return IsTooLong(item.checkpoint);
+  };
+  return std::any_of(reply.runs.begin(), reply.runs.end(), is_too_long) ||
+         std::any_of(reply.ends.begin(), reply.ends.end(), is_too_long);
+}
+
 /// What to do after a reply: kWait leaves the next step to the host manager,
 /// which plans at its own interval.
 enum class AfterReply { kAdvance, kWait };
@@ -159,6 +189,14 @@
 void ForwardTargetReply(EntryState& entry, std::int64_t id,
                         const TargetReply& reply, const EventTime& time,
                         Effects& out) {
+  if (HasLongCheckpoint(reply)) {
+    Context context = MakeEventContext(entry, time, out);
+    TargetReply shortened = reply;
+    DropLongCheckpoints(shortened, context);
+    ForwardToOwner(entry, HandleTargetReply, id, shortened, time, out,
+                   AfterReply::kAdvance);
+    return;
+  }
   ForwardToOwner(entry, HandleTargetReply, id, reply, time, out,
                  AfterReply::kAdvance);
 }
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -5,6 +5,7 @@
 #include "Model/json.h"
 #include "Model/text.h"
 #include "Policy/entry_internal.h"
+#include "Policy/row_sizes.h"
 #include "Policy/store_keys.h"
 
 namespace hyssopbarrow::fleet {
@@ -234,6 +235,12 @@
                    .accepted_ms = context_.time.unix_ms,
                    .max_attempts = queue.max_attempts,
                    .spec = *std::move(call.call.spec)};
+    const std::int64_t max_row_bytes = context_.timing.max_row_bytes;
+    if (absl::Status s = CheckRowSizes(call.record, max_row_bytes); !s.ok()) {
+      Answer(call, {.outcome = CallOutcome::kInvalid,
+                    .detail = std::string(s.message())});
+      return;
+    }
     InsertJob(call);
   }
 
--- a/Source/Policy/owner_ends.cc
+++ b/Source/Policy/owner_ends.cc
@@ -7,6 +7,7 @@
 
 #include "Model/text.h"
 #include "Policy/owner_runs.h"
+#include "Policy/row_sizes.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -64,8 +65,10 @@
           ? nullptr
           : FindQueue(*context.configuration, job.record.queue);
   if (step.long_running) return;
+  // The progress row has room for so many.
   const std::int64_t attempts =
-      queue == nullptr ? job.record.max_attempts : queue->max_attempts;
+      std::min(queue == nullptr ? job.record.max_attempts : queue->max_attempts,
+               MaxStoredFailures(job.record));
   const auto failures = static_cast<std::int64_t>(task->failed_runs.size());
   if (failures >= attempts) {
     FinishJob(
