Tests: Give targets of fixtures a recent reading of their clocks

Fixtures that were written beside the change that starts tasks only after a recent reading set the clock of their targets by its former fields, or once. What they check is unchanged; the progress rows are declared in a header of their own.

--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -11,8 +11,8 @@
 #include "Model/cbor.h"
 #include "Model/text.h"
 #include "Policy/entry_internal.h"
-#include "Policy/job_table.h"
 #include "Policy/placement.h"
+#include "Policy/progress_rows.h"
 #include "Policy/registration.h"
 
 namespace hyssopbarrow::fleet {
--- a/Tests/Fleet/placement_test.cc
+++ b/Tests/Fleet/placement_test.cc
@@ -268,7 +268,10 @@
   /// that are in `allowed`.
   std::vector<std::string> Request(const std::set<std::string>& allowed) {
     now += seconds(2);  // The last approval has expired.
-    for (auto& [id, target] : owner.targets) target.last_reply_at = now;
+    for (auto& [id, target] : owner.targets) {
+      target.last_reply_at = now;
+      target.clock = {.clock_ms = 1, .sent_at = now, .received_at = now};
+    }
     out.clear();
     Place();
     if (out.empty()) return {};
--- a/Tests/Fleet/task_rows_test.cc
+++ b/Tests/Fleet/task_rows_test.cc
@@ -26,8 +26,7 @@
     target.entry = {
         .id = "i-1", .address = "10.0.0.1:80", .started_unix_ms = 7};
     target.synced = true;
-    target.clock_ms = 1;
-    target.clock_at = now;
+    target.clock = {.clock_ms = 1, .sent_at = now, .received_at = now};
   }
 
   /// Sends the next commit.
--- a/Tests/Platform/decoder_fuzz_test.cc
+++ b/Tests/Platform/decoder_fuzz_test.cc
@@ -20,7 +20,7 @@
 #include "Peer/codec.h"
 #include "Peer/greeting.h"
 #include "Policy/claim_row.h"
-#include "Policy/job_table.h"
+#include "Policy/progress_rows.h"
 #include "absl/strings/escaping.h"
 #include "callers.h"
 #include "fleet_wire.h"
