--- a/Tests/Fleet/host_moves_test.cc
+++ b/Tests/Fleet/host_moves_test.cc
@@ -96,9 +96,10 @@
   const auto lapse_ms = GENERATE(1500, 4000);
   CAPTURE(seed, lapse_ms);
   constexpr int kTargets = 4;
+  constexpr std::int64_t kTasks = 8;
   FleetSimulation simulation(seed, 3, kTargets);
   simulation.stop_duration = std::chrono::milliseconds(300);
-  JobSpec spec = SimpleJob(2 * kTargets, false);
+  JobSpec spec = SimpleJob(kTasks, false);
   spec.steps[0].long_running = true;
   spec.steps[0].max_unavailable_tasks = 1;
   simulation.Run(std::chrono::seconds(3));
--- a/Tests/Model/cbor_test.cc
+++ b/Tests/Model/cbor_test.cc
@@ -137,10 +137,8 @@
     CHECK(ParseCbor(ToCbor(NestedLists(levels))).is_null());
     CHECK(ParseJson(NestedLists(levels).dump()).is_discarded());
   }
-  for (const std::string_view open : {"\x81", "\x9f", "\xa1\x01",
-                                      "\xbf\x61"
-                                      "a",
-                                      "\xc1", "\x5f", "\x7f"}) {
+  for (const std::string_view open :
+       {"\x81", "\x9f", "\xa1\x01", "\xbf\x61\x61", "\xc1", "\x5f", "\x7f"}) {
     std::string bytes;
     while (bytes.size() < 4UL << 20) bytes += open;
     CHECK(ParseCbor(bytes).is_null());
