Policy: Count a job's occurrences in one place

Found in the closing reading: progress rows counted the occurrences of a job twice in one file, a header was included that nothing uses any more, and two declarations of polls did not say what they do.

--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "Model/text.h"
--- a/Source/Policy/progress_rows.cc
+++ b/Source/Policy/progress_rows.cc
@@ -220,14 +220,16 @@
   return digest;
 }
 
+std::int64_t OccurrenceCount(const Job& job) {
+  return std::max<std::int64_t>(1, job.record.spec.repeats);
+}
+
 /// Applies the progress of tasks in a row. Throws if a field has a wrong type.
 absl::Status ApplyTasks(const json& row, Instant now, Job& job) {
   const auto task_at = [&](const std::string& name) -> Task* {
     const auto parsed = ParseTaskName(StrCat(job.record.id, ".", name));
-    const std::int64_t occurrences =
-        std::max<std::int64_t>(1, job.record.spec.repeats);
     const bool exists = parsed.has_value() && parsed->occurrence >= 0 &&
-                        parsed->occurrence < occurrences;
+                        parsed->occurrence < OccurrenceCount(job);
     if (!exists) return nullptr;
     const bool opens = job.open_occurrences.count(parsed->occurrence) == 0;
     if (opens && job.open_occurrences.size() >= kMaxOpenOccurrences) {
@@ -304,10 +306,6 @@
   }
 }
 
-std::int64_t OccurrenceCount(const Job& job) {
-  return std::max<std::int64_t>(1, job.record.spec.repeats);
-}
-
 bool IsOpenOrNew(const Job& job, std::int64_t occurrence) {
   return !IsFinal(job.state) && occurrence >= 0 &&
          occurrence < OccurrenceCount(job) &&
--- a/Source/Policy/target_polls.h
+++ b/Source/Policy/target_polls.h
@@ -26,10 +26,13 @@
 /// Delay before the next poll of a target.
 Duration PollDelay(const TargetView& target, Instant now);
 
-/// True if the target can be polled and has runs, ends to acknowledge, or has
-/// not answered this owner yet.
+/// True if the target can be polled and has runs or ends to acknowledge, has
+/// not answered this owner yet, or is responsive and a doubt or a task waits
+/// for its reply.
 bool NeedsPoll(const TargetView& target);
 
+/// Polls the target. Extends its lease if it has runs or ends to acknowledge,
+/// and acknowledges stored ends once.
 void SendPoll(Owner& owner, TargetView& target, Context& context);
 
 /// Polls listed targets without runs that have not answered their last poll, so
