Policy: Remove hosts only after two lists without them

A wave could be reported as completed while one of its hosts had not begun its maintenance (MIXED), and the rest of its operation was forgotten: an owner removed a host as soon as one list lacked it, and a new owner took a host of a wave that its first list lacked for one that had left. The list comes in pages, so a host may move from one page to another while it is read.

A host is removed once two complete lists in a row lack it; the second one is requested at once. A wave is completed without a host only after two lists.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -60,6 +60,33 @@
   }
 }
 
+/// Applies a complete host list. A host that moves between the pages of the
+/// list while it is read may be in none of them, so hosts are removed only once
+/// two lists in a row lack them.
+void ApplyHostList(Owner& owner, const HostList& list, Context& context) {
+  HostManager& manager = owner.host_manager;
+  std::set<std::string> present;
+  for (const Host& host : list.hosts) {
+    present.insert(host.name);
+    HostView& view = manager.hosts[host.name];
+    view.host = host;
+    view.missing = false;
+  }
+  for (auto it = manager.hosts.begin(); it != manager.hosts.end();) {
+    HostView& view = it->second;
+    if (present.count(it->first) > 0) {
+      ++it;
+    } else if (view.missing) {
+      Log(context, Severity::kInfo, "host_removed", {{"host", it->first}});
+      it = manager.hosts.erase(it);
+    } else {
+      view.missing = true;
+      manager.next_host_list = context.time.now;
+      ++it;
+    }
+  }
+}
+
 bool HasActiveOperations(const HostManager& manager) {
   const bool operations = std::any_of(
       manager.hosts.begin(), manager.hosts.end(), [](const auto& host) {
@@ -248,16 +275,9 @@
   }
   if (!list.answered) return true;
   manager.host_list_received_at = context.time.now;
-  std::set<std::string> present;
-  for (const Host& host : list.hosts) {
-    present.insert(host.name);
-    manager.hosts[host.name].host = host;
-  }
+  ++manager.host_list_count;
+  ApplyHostList(owner, list, context);
   RetireReplacedTargets(owner, context);
-  for (auto it = manager.hosts.begin(); it != manager.hosts.end();) {
-    it =
-        present.count(it->first) == 0 ? manager.hosts.erase(it) : std::next(it);
-  }
   return true;
 }
 
--- a/Source/Policy/maintenance_waves.cc
+++ b/Source/Policy/maintenance_waves.cc
@@ -113,7 +113,11 @@
   for (const std::string& name : wave.wave.hosts) {
     if (wave.done_hosts.count(name) > 0) continue;
     auto it = host_manager_.hosts.find(name);
-    if (it == host_manager_.hosts.end()) continue;  // Removed from the fleet.
+    if (it == host_manager_.hosts.end()) {
+      // One list may lack a host that is in the fleet.
+      if (host_manager_.host_list_count < 2) complete = false;
+      continue;
+    }
     complete = false;
     HostView& host = it->second;
     if (host.operation == HostOperation::kMaintenance) {
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -181,6 +181,7 @@
 /// A host as known to the host manager.
 struct HostView {
   Host host;
+  bool missing = false;  ///< The last host list lacked it.
   HostOperation operation = HostOperation::kNone;  ///< Planned or in progress.
   std::string destination;                         ///< Pool of a move.
   std::int64_t wave = 0;                           ///< Of a maintenance.
@@ -214,6 +215,7 @@
   Instant next_host_list{};
   Instant host_list_requested_at{};
   Instant host_list_received_at{};
+  std::int64_t host_list_count = 0;  ///< Complete lists received.
   /// Hosts by the id of their pending request.
   std::unordered_map<std::int64_t, std::string> host_by_request;
   Instant next_plan{};
