Policy: Retire targets whose host has left the fleet

The new owner had read the entry of the target, which named the host. The list of hosts lacked it from the first reading on, but such a target was passed over: only a target known from its runs alone was retired for being on no host.

An unresponsive target is retired once two lists in a row have neither its host nor any other host that runs it. Two, because a host may be missing from one reading of a list in pages; any host, because an entry of another writer may name a host that does not exist. The same rule now holds for a target known from its runs alone, whose runs one list was enough to lose while they went on (TWICE, by reading). The list shows nothing of what came after it was requested, as before, and a target that replies is not looked for. A target that left with its host counts as no crash of its tasks.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -24,30 +26,52 @@
 constexpr Duration kMaxClockSkew = milliseconds(3000);
 constexpr Duration kWaveRowRetryDelay = milliseconds(300);
 
-/// Retires unresponsive targets whose host runs another target or none.
+/// Ids of the targets that the last host list shows.
+std::unordered_set<std::string_view> FindTargetsOnHosts(
+    const HostManager& manager) {
+  std::unordered_set<std::string_view> targets;
+  for (const auto& [name, host] : manager.hosts) {
+    if (!host.missing) targets.insert(host.host.target);
+  }
+  return targets;
+}
+
+/// Handles a target that no host in the last list runs. Its own host is not in
+/// the list either, or unknown.
+void HandleMissingTarget(Owner& owner, TargetView& target, Context& context) {
+  if (std::exchange(target.missing, true)) {
+    // A host that leaves the fleet takes its target along, which is no crash.
+    if (target.entry.host.empty()) {
+      HandleTargetCrash(owner, target, "no host runs it", context);
+    }
+    RetireTarget(owner, target, "no host runs it", context);
+  } else if (!target.runs.empty()) {
+    owner.host_manager.next_host_list = context.time.now;
+  }
+}
+
+/// Retires unresponsive targets whose host runs another target or none, or is
+/// in neither of the last two lists.
 void RetireReplacedTargets(Owner& owner, Context& context) {
+  const HostManager& manager = owner.host_manager;
+  const std::unordered_set<std::string_view> running =
+      FindTargetsOnHosts(manager);
   for (auto& [id, target] : owner.targets) {
     // The list tells nothing of what happened after it was requested.
-    const Instant asked_at = owner.host_manager.host_list_requested_at;
+    const Instant asked_at = manager.host_list_requested_at;
     const bool later_known =
         target.found_at > asked_at || target.last_reply_at > asked_at;
     const bool responsive = target.synced && target.unanswered_polls == 0;
-    if (target.retired || responsive || later_known) continue;
-    if (target.entry.host.empty()) {
-      // The target is known only from its runs, so any host may have run it.
-      const bool present = std::any_of(owner.host_manager.hosts.begin(),
-                                       owner.host_manager.hosts.end(),
-                                       [&name = id](const auto& host) {
-                                         return host.second.host.target == name;
-                                       });
-      if (!present) {
-        HandleTargetCrash(owner, target, "no host runs it", context);
-        RetireTarget(owner, target, "no host runs it", context);
-      }
+    auto it = manager.hosts.find(target.entry.host);
+    const bool host_listed = it != manager.hosts.end() && !it->second.missing;
+    const bool unaffected = target.retired || responsive || later_known;
+    const bool missing = !unaffected && !host_listed && !running.contains(id);
+    if (missing) {
+      HandleMissingTarget(owner, target, context);
       continue;
     }
-    auto it = owner.host_manager.hosts.find(target.entry.host);
-    if (it == owner.host_manager.hosts.end()) continue;
+    target.missing = false;
+    if (unaffected || !host_listed) continue;
     const Host& host = it->second.host;
     const bool replaced = !host.target.empty() && host.target != id;
     const bool removed = host.target.empty() && host.state == HostState::kUp;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -114,6 +114,7 @@
   Instant found_at{};    ///< When the owner first knew of this instance.
   bool listed = true;    ///< In the targets table.
   bool retired = false;  ///< Its host was moved or taken out; it runs nothing.
+  bool missing = false;  ///< No host in the last host list runs it.
   std::map<TaskName, Run> runs;
   Resources used;
   std::int64_t background_runs = 0;  ///< Runs of background tasks.
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -104,6 +104,7 @@
   SimulatedTarget started;
   started.tasks.entry = std::move(entry);
   started.row = std::move(state.row);
+  started.host_listed = state.host_listed;
   started.cut = state.cut;
   started.cut_until_us = state.cut_until_us;
   started.life = state.life + 1;
@@ -883,6 +884,7 @@
 HostList FleetSimulation::MakeHostList() const {
   HostList list{.answered = true};
   for (const SimulatedTarget& target : targets_) {
+    if (!target.host_listed) continue;
     list.hosts.push_back(
         {.name = target.tasks.entry.host,
          .pool = target.tasks.entry.pool,
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -68,6 +68,10 @@
     entries_[ToIndex(n)].job_watches_stalled = stalled;
   }
   void CrashTarget(int n);  ///< Never replies again; unlisted after 4.5 s.
+  /// Sets whether the list of hosts has the host of a target.
+  void SetHostListed(int n, bool listed) {
+    targets_[ToIndex(n)].host_listed = listed;
+  }
   /// Crashes a target, which is back as another instance under the same id
   /// after `crash_duration`.
   void CrashAndRestartTarget(int n);
@@ -161,6 +165,7 @@
     std::set<TaskName> stopping;
     bool down = false;
     bool restarting = false;  ///< Down for a while after a crash.
+    bool host_listed = true;  ///< In the list of hosts.
     /// In the targets table; another writer may have put it there.
     std::optional<Target> row;
     TargetCut cut = TargetCut::kNone;
