Ownership: Count an earlier owner's requests from its release

Tasks that last had nothing running for 10.8 s after a planned takeover (LOST), and held their team's share and their target's room meanwhile: a new owner took its own takeover plus 6 s for the last request of the earlier one, in which that may continue without the store, and added the lease.

The latest request is now counted from the release, or from the last change of the lease row plus 6 s if there is none. A release says nothing of the owners before, so each lease row tells how long one of them may still send requests; a row without that field, of an earlier version, counts as 6 s. An instance of the same host that has ended sends nothing either.

--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -68,6 +68,9 @@
   std::string holder;
   std::string address;
   bool released = true;  ///< No host holds the lease.
+  /// Latest time at which an owner before the holder may send requests to
+  /// targets.
+  Instant earlier_requests_end{};
   /// The epoch and lease rows have not changed since then, as far as the store
   /// has replied.
   Instant unchanged_since{};
@@ -76,6 +79,9 @@
 
   std::int64_t pending_claim = 0;
   Instant claim_sent_at{};
+  /// Latest time at which an owner before the last claim may send requests to
+  /// targets.
+  Instant requests_end_before_claim{};
   Instant next_claim{};
 
   std::int64_t pending_renewal = 0;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -312,6 +312,8 @@
   std::int64_t epoch = 0;
   std::int64_t epoch_revision = 0;  ///< Of the epoch row in the store.
   Instant owned_since{};
+  /// Latest time at which an earlier owner may send requests to targets.
+  Instant earlier_requests_end{};
   /// Extended by each renewal of the ownership.
   Instant target_requests_allowed_until{};
   Instant host_requests_allowed_until{};
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -126,9 +126,9 @@
   // The earlier owner may have learned of an instance before its entry arrives.
   target.entry.started_unix_ms =
       std::max(target.entry.started_unix_ms, assignment.started_unix_ms);
-  // The earlier owner may have gone on for this long, and may have started the
-  // run in an instance whose clock it did not know.
-  const Instant last_request_at = owner.owned_since + kStoreOutageGrace;
+  // The earlier owner may have started the run in an instance whose clock it
+  // did not know.
+  const Instant last_request_at = owner.earlier_requests_end;
   const auto lease =
       duration_cast<Duration>(TargetLease(context.timing) * kLeaseClockFactor);
   target.latest_lease_end = std::max(
--- a/Source/Policy/owner_runs.h
+++ b/Source/Policy/owner_runs.h
@@ -13,8 +13,8 @@
 constexpr Duration kTargetLease = std::chrono::milliseconds(4500);
 
 /// How long an owner keeps running after its last renewal while the store is
-/// unresponsive; covers the usual outage. A successor waits as long before it
-/// gives up runs that it cannot see.
+/// unresponsive; covers the usual outage. A successor counts the leases of runs
+/// that it cannot see from then, unless the owner has released the ownership.
 constexpr Duration kStoreOutageGrace = std::chrono::milliseconds(6000);
 
 /// Latest end of a lease that an instance with an unknown clock may have taken
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -27,6 +27,7 @@
 /// longer, the owner may be unable to reach it as well, and this host does not
 /// claim the ownership.
 constexpr Duration kMaxStoreReplyAge = milliseconds(520);
+constexpr const char* kEarlierRequestsField = "earlier_requests_ms";
 
 RowRef OwnerRowRef(std::string_view key) {
   return {Table::kOwner, std::string(key)};
@@ -38,21 +39,48 @@
   return sent_at + kOwnerLeaseDuration - kOwnerLeaseMargin;
 }
 
+/// `earlier_requests_end` is stored as a remaining time, because hosts share no
+/// clock that never steps.
 nlohmann::json LeaseRow(const EntryState& entry, std::int64_t epoch,
-                        bool released) {
+                        bool released, Instant earlier_requests_end,
+                        Instant now) {
+  const auto remaining =
+      std::chrono::ceil<milliseconds>(Remaining(earlier_requests_end, now));
   return {{"holder", entry.self.holder},
           {"address", entry.self.address},
           {"epoch", epoch},
           {"renewals", entry.ownership.renewals},
+          {kEarlierRequestsField, remaining.count()},
           {"released", released}};
 }
 
+/// How long after a lease row was written an owner before its holder may send
+/// requests to targets. Rows of earlier versions do not say so.
+Duration EarlierRequestsTime(const nlohmann::json& row) {
+  auto it = row.find(kEarlierRequestsField);
+  if (it == row.end() || !it->is_number_integer()) return kStoreOutageGrace;
+  const auto ms = it->get<std::int64_t>();
+  const bool in_range = ms >= 0 && ms <= kStoreOutageGrace / milliseconds(1);
+  return in_range ? milliseconds(ms) : kStoreOutageGrace;
+}
+
 /// True if `holder` is an earlier instance of this host, which has ended.
 bool IsEarlierInstance(const EntryState& entry, std::string_view holder) {
   const std::string prefix = entry.self.node + "@";
   return holder.starts_with(prefix) && holder != entry.self.holder;
 }
 
+/// Latest time at which the holder of the lease or an owner before it may send
+/// requests to targets.
+Instant LatestRequestOfOwners(const EntryState& entry) {
+  const Ownership& ownership = entry.ownership;
+  const bool holder_ended =
+      ownership.released || IsEarlierInstance(entry, ownership.holder);
+  // The last renewal that the store took is older than the last change seen.
+  return holder_ended ? ownership.earlier_requests_end
+                      : ownership.unchanged_since + kStoreOutageGrace;
+}
+
 void BecomeOwner(EntryState& entry, std::int64_t epoch, std::int64_t revision,
                  Instant claim_sent_at, Context& context) {
   Ownership& ownership = entry.ownership;
@@ -70,6 +98,7 @@
   owner.epoch_revision = revision;
   owner.commit_revision = revision;
   owner.owned_since = context.time.now;
+  owner.earlier_requests_end = ownership.requests_end_before_claim;
   owner.target_requests_allowed_until = LeaseExpiry(claim_sent_at);
   owner.host_requests_allowed_until = owner.target_requests_allowed_until;
   owner.host_manager.requests_allowed_from =
@@ -114,7 +143,9 @@
   commit.timeout = kRenewalTimeout;
   commit.conditions = {{OwnerRowRef(kEpochKey), entry.owner->epoch_revision}};
   commit.writes = {
-      {OwnerRowRef(kLeaseKey), LeaseRow(entry, entry.owner->epoch, release)}};
+      {OwnerRowRef(kLeaseKey),
+       LeaseRow(entry, entry.owner->epoch, release,
+                entry.owner->earlier_requests_end, context.time.now)}};
   context.out.emplace_back(std::move(commit));
 }
 
@@ -122,16 +153,20 @@
   Ownership& ownership = entry.ownership;
   ownership.pending_claim = context.next_id++;
   ownership.claim_sent_at = context.time.now;
+  ownership.requests_end_before_claim = LatestRequestOfOwners(entry);
   ownership.next_claim = context.time.now + kClaimRetryDelay;
   CommitRows commit{.id = ownership.pending_claim};
   commit.conditions = {{OwnerRowRef(kEpochKey), ownership.epoch_revision},
                        {OwnerRowRef(kLeaseKey), ownership.lease_revision}};
   const std::int64_t epoch = ownership.epoch + 1;
-  commit.writes = {{OwnerRowRef(kEpochKey),
-                    {{"epoch", epoch}, {"holder", entry.self.holder}}},
-                   {OwnerRowRef(kLeaseKey), LeaseRow(entry, epoch, false)},
-                   {{Table::kProgress, std::string(kCommitKey)},
-                    {{"epoch", epoch}, {"sequence", 0}}}};
+  commit.writes = {
+      {OwnerRowRef(kEpochKey),
+       {{"epoch", epoch}, {"holder", entry.self.holder}}},
+      {OwnerRowRef(kLeaseKey),
+       LeaseRow(entry, epoch, false, ownership.requests_end_before_claim,
+                context.time.now)},
+      {{Table::kProgress, std::string(kCommitKey)},
+       {{"epoch", epoch}, {"sequence", 0}}}};
   Log(context, Severity::kInfo, "ownership_claimed",
       {{"epoch", std::to_string(epoch)},
        {"former_holder", ownership.holder},
@@ -275,6 +310,7 @@
       ownership.lease_revision = row.revision;
       ownership.address = TextOrEmpty(row.value, "address");
       ownership.released = FlagOrFalse(row.value, "released");
+      ownership.earlier_requests_end = now + EarlierRequestsTime(row.value);
       changed = true;
     }
   }
--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -117,7 +117,8 @@
 
 // Guards against the same fault of the row of the lease.
 TEST_CASE("a host claims the ownership after any row of the lease") {
-  const char* field = GENERATE("address", "released", "renewals");
+  const char* field =
+      GENERATE("address", "released", "renewals", "earlier_requests_ms");
   for (const json& value : OddValues()) {
     CAPTURE(field, value.dump());
     OwnershipFixture host;
