Policy: Let repeated doubts not put off the end of runs

No lease is granted and no start repeated in doubt, so only the first sign raises that bound. A reply that settles the doubt allows requests again, and then a new doubt counts from there. The test failed before: the run was tracked after 12 s of an entry that changes each second.

--- a/Source/Policy/target_instance.cc
+++ b/Source/Policy/target_instance.cc
@@ -83,11 +83,13 @@
 
 void DoubtInstance(Owner& owner, TargetView& target, std::string_view reason,
                    Context& context) {
+  if (target.instance_doubted) return;
+  target.instance_doubted = true;
+  // No lease is granted while the instance is doubted, so that further signs do
+  // not put off the end of the runs.
   target.latest_lease_end =
       std::max(target.latest_lease_end,
                LatestUnknownLeaseEnd(context.timing, context.time.now));
-  if (target.instance_doubted) return;
-  target.instance_doubted = true;
   // A poll that waits would tell about the earlier instance.
   target.pending_poll = 0;
   Log(context, Severity::kInfo, "target_instance_doubted",
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -349,6 +349,27 @@
   CHECK(fixture.target.entry.address == "10.0.0.1:80");
 }
 
+// Guards against LOST: an entry that changes again and again, as in a crash
+// loop, put off the end of the runs of a target that does not reply.
+TEST_CASE("entries of other instances do not put off the end of silent runs") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1,
+                {.result = TargetResult::kDone, .clock_ms = 5000});
+  Target entry = fixture.target.entry;
+  const Instant silent_since = fixture.now;
+  const Duration longest_lease = fixture.timing.max_lease;
+  while (fixture.now < silent_since + longest_lease + seconds(2)) {
+    entry.started_unix_ms += 1000;
+    fixture.ApplyEntry(entry);
+    if (fixture.target.pending_poll == 0) fixture.Poll();
+    fixture.Reply(fixture.target.pending_poll, {});
+    fixture.now += seconds(1);
+    Context context = fixture.MakeContext();
+    AdvanceTarget(fixture.owner, fixture.target, context);
+  }
+  CHECK(fixture.target.runs.empty());
+}
+
 // Starts that were refused by the next target of a host counted as crashes
 // under their tasks, and sound jobs were given up.
 TEST_CASE("a start that another target refuses is no cause of a crash") {
