--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -370,6 +370,22 @@
   CHECK(fixture.target.runs.empty());
 }
 
+// Guards against TWICE: a lease was counted from its request and not from the
+// reading of the clock, so that it could outlast what the owner allowed for.
+TEST_CASE("a lease is counted from the reading of the clock") {
+  OwnerWithRun fixture;
+  constexpr double kSlowClock = 0.98;
+  const ClockReading reading = *fixture.target.clock;
+  fixture.now = reading.received_at + milliseconds(60'000);
+  fixture.Poll();
+  const auto& poll = std::get<TargetRequest>(fixture.out.back());
+  REQUIRE(poll.lease_until_ms.has_value());
+  const double lease_ms =
+      static_cast<double>(*poll.lease_until_ms - reading.clock_ms) / kSlowClock;
+  CHECK(fixture.target.latest_lease_end >=
+        reading.received_at + milliseconds(static_cast<int>(lease_ms)));
+}
+
 // Starts that were refused by the next target of a host counted as crashes
 // under their tasks, and sound jobs were given up.
 TEST_CASE("a start that another target refuses is no cause of a crash") {
