Policy: Grant no lease after a poll that was rejected

A rejected poll has done nothing, so the runs there end with the earlier lease, but the owner never gave them up and their tasks had nothing running (LOST).

The test failed before: the run was tracked after 10 s of rejected polls.

--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -235,7 +235,8 @@
   }
 }
 
-/// Handles a request to which the target did not reply.
+/// Handles a request to which the target did not reply, or a poll that it
+/// rejected.
 void HandleSilence(TargetView& target, TargetRequestKind kind,
                    bool is_current_poll, const TargetReply& reply,
                    Context& context) {
@@ -343,9 +344,12 @@
   const bool relay_lost = reply.result == TargetResult::kRelayLost;
   const bool responsive = reply.result != TargetResult::kNoReply &&
                           reply.result != TargetResult::kNotSent && !relay_lost;
+  // A poll that the target rejects extends no lease.
+  const bool poll_rejected =
+      is_poll && responsive && reply.result != TargetResult::kDone;
   if (relay_lost) {
     if (is_current_poll) target.next_poll = now;
-  } else if (!responsive) {
+  } else if (!responsive || poll_rejected) {
     HandleSilence(target, request.kind, is_current_poll, reply, context);
   } else if (is_poll) {
     target.unanswered_polls = 0;
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -370,6 +370,25 @@
   CHECK(fixture.target.runs.empty());
 }
 
+// Guards against LOST: polls that a target rejected extended the lease that the
+// owner waited for, while no run there could go on.
+TEST_CASE("the runs of a target that rejects each poll are given up") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1,
+                {.result = TargetResult::kDone, .clock_ms = 5000});
+  const Instant rejected_since = fixture.now;
+  while (fixture.now < rejected_since + fixture.timing.max_lease) {
+    const std::int64_t poll = fixture.target.pending_poll != 0
+                                  ? fixture.target.pending_poll
+                                  : fixture.Poll();
+    fixture.Reply(poll, {.result = TargetResult::kUnhealthy});
+    fixture.now += kPollRetryDelay;
+    Context context = fixture.MakeContext();
+    AdvanceTarget(fixture.owner, fixture.target, context);
+  }
+  CHECK(fixture.target.runs.empty());
+}
+
 // Guards against TWICE: a lease was counted from its request and not from the
 // reading of the clock, so that it could outlast what the owner allowed for.
 TEST_CASE("a lease is counted from the reading of the clock") {
