Policy: Use retired targets again that their host runs

A list that was requested after the retirement and shows the target on a host that is up makes the owner poll it as one it has just found.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <string_view>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -26,14 +26,23 @@
 constexpr Duration kMaxClockSkew = milliseconds(3000);
 constexpr Duration kWaveRowRetryDelay = milliseconds(300);
 
-/// Ids of the targets that the last host list shows.
-std::unordered_set<std::string_view> FindTargetsOnHosts(
-    const HostManager& manager) {
-  std::unordered_set<std::string_view> targets;
+using HostsByTarget = std::unordered_map<std::string_view, const Host*>;
+
+/// The hosts in the last list, by the target that they run.
+HostsByTarget FindHostsByTarget(const HostManager& manager) {
+  HostsByTarget hosts;
   for (const auto& [name, host] : manager.hosts) {
-    if (!host.missing) targets.insert(host.host.target);
+    if (!host.missing) hosts[host.host.target] = &host.host;
   }
-  return targets;
+  return hosts;
+}
+
+/// True if a list that was requested after the target was retired shows it.
+bool IsBack(const TargetView& target, const HostsByTarget& hosts,
+            Instant asked_at) {
+  auto it = hosts.find(target.entry.id);
+  return target.retired && target.listed && target.retired_at < asked_at &&
+         it != hosts.end() && it->second->state == HostState::kUp;
 }
 
 /// Handles a target that no host in the last list runs. Its own host is not in
@@ -51,14 +60,19 @@
 }
 
 /// Retires unresponsive targets whose host runs another target or none, or is
-/// in neither of the last two lists.
+/// in neither of the last two lists, and tracks those that are back.
 void RetireReplacedTargets(Owner& owner, Context& context) {
   const HostManager& manager = owner.host_manager;
-  const std::unordered_set<std::string_view> running =
-      FindTargetsOnHosts(manager);
+  const HostsByTarget running = FindHostsByTarget(manager);
   for (auto& [id, target] : owner.targets) {
     // The list tells nothing of what happened after it was requested.
     const Instant asked_at = manager.host_list_requested_at;
+    if (IsBack(target, running, asked_at)) {
+      TrackInstance(target, target.entry,
+                    LatestUnknownLeaseEnd(context.timing, context.time.now),
+                    context);
+      AddToNextRound(owner, target);
+    }
     const bool later_known =
         target.found_at > asked_at || target.last_reply_at > asked_at;
     const bool responsive = target.synced && target.unanswered_polls == 0;
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -354,20 +354,13 @@
         !inserted && target.entry.address.empty();
     if (known_by_assignment_only) owner.placement_due = true;
     if (inserted || replaced) {
-      const std::int64_t pending_requests = target.pending_requests;
-      target = TargetView{};
-      target.pending_requests = pending_requests;
-      target.found_at = context.time.now;
       // A late request to the earlier instance may extend the lease.
-      target.latest_lease_end =
+      TrackInstance(
+          target, entry,
           replaced ? LatestUnknownLeaseEnd(context.timing, context.time.now)
-                   : context.time.now;
+                   : context.time.now,
+          context);
       owner.placement_due = true;
-      Log(context, Severity::kInfo, "target_found",
-          {{"target", entry.id},
-           {"pool", entry.pool},
-           {"host", entry.host},
-           {"born", std::to_string(entry.started_unix_ms)}});
     }
     if (!inserted && target.entry.draining != entry.draining) {
       Log(context, Severity::kInfo, "target_draining",
@@ -424,6 +417,21 @@
   }
 }
 
+void TrackInstance(TargetView& target, Target entry, Instant latest_lease_end,
+                   Context& context) {
+  const std::int64_t pending_requests = target.pending_requests;
+  target = TargetView{};
+  target.pending_requests = pending_requests;
+  target.found_at = context.time.now;
+  target.latest_lease_end = latest_lease_end;
+  target.entry = std::move(entry);
+  Log(context, Severity::kInfo, "target_found",
+      {{"target", target.entry.id},
+       {"pool", target.entry.pool},
+       {"host", target.entry.host},
+       {"born", std::to_string(target.entry.started_unix_ms)}});
+}
+
 void AddToNextRound(Owner& owner, TargetView& target) {
   if (target.in_next_round) return;
   target.in_next_round = true;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -114,6 +114,7 @@
   Instant found_at{};    ///< When the owner first knew of this instance.
   bool listed = true;    ///< In the targets table.
   bool retired = false;  ///< Its host was moved or taken out; it runs nothing.
+  Instant retired_at{};
   bool missing = false;  ///< No host in the last host list runs it.
   std::map<TaskName, Run> runs;
   Resources used;
@@ -424,6 +425,10 @@
 /// Schedules the next round as early as possible.
 void ScheduleRound(Owner& owner, Instant now);
 
+/// Begins to track an instance of a target of which only its entry is known.
+void TrackInstance(TargetView& target, Target entry, Instant latest_lease_end,
+                   Context& context);
+
 /// Includes a target in the next round.
 void AddToNextRound(Owner& owner, TargetView& target);
 
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -309,6 +309,7 @@
   target.unknown_runs.clear();
   GiveUpRuns(owner, target, reason, context);
   target.retired = true;
+  target.retired_at = context.time.now;
 }
 
 void AdvanceTarget(Owner& owner, TargetView& target, Context& context) {
--- a/Tests/Fleet/host_list_test.cc
+++ b/Tests/Fleet/host_list_test.cc
@@ -125,6 +125,24 @@
   CHECK(fixture.owner.crash_count == 0);
 }
 
+// Guards against LOST: a target that was retired while it could not be reached
+// was never used again, although its host still ran it.
+TEST_CASE("a target that was retired is used again once a host runs it") {
+  const auto seed = GENERATE(range<std::uint64_t>(710, 713));
+  CAPTURE(seed);
+  FleetSimulation simulation(seed, 3, 1);
+  simulation.Run(seconds(3));
+  simulation.CutOffTarget(0, TargetCut::kBothWays, seconds(5));
+  simulation.SetHostListed(0, false);
+  simulation.Submit(kJob, SimpleJob(1, false));
+  simulation.Run(seconds(5));
+  simulation.SetHostListed(0, true);
+  simulation.Run(seconds(6));
+  CHECK(simulation.StateOf(kJob) == JobState::kCompleted);
+  CAPTURE(simulation.violations);
+  CHECK(simulation.violations.empty());
+}
+
 // ndoto-kazi, LOST: tasks that last had nothing running for 10 s because their
 // target was gone with its host as a new owner took over.
 TEST_CASE("tasks of a target that left with its host restart at a takeover") {
