Policy: Place suspected tasks on targets that have not just restarted

Targets known for 5 s go first, where the pool has one that may run the task; if none of them is free of possible causes, one is kept free for it as before. A new instance counts as known from its first reply.

--- a/Source/Policy/isolation.cc
+++ b/Source/Policy/isolation.cc
@@ -11,6 +11,8 @@
 constexpr std::int64_t kTargetsPerIsolated = 3;
 /// How long a target is kept free of other starts.
 constexpr Duration kKeepTime = std::chrono::milliseconds(2000);
+/// A target that has been known for less long may have restarted after a crash.
+constexpr Duration kEstablishedAfter = std::chrono::milliseconds(5000);
 
 bool MayIsolateAnother(const std::vector<FreeTarget>& targets) {
   const auto isolated =
@@ -34,6 +36,11 @@
   return best;
 }
 
+/// True if a crash of the target would say more of a task than of the target.
+bool IsEstablished(const TargetView& target, Instant now) {
+  return target.found_at + kEstablishedAfter <= now;
+}
+
 }  // namespace
 
 bool IsIsolated(const Owner& owner, const TargetView& target, Instant now) {
@@ -48,9 +55,19 @@
       [now](const auto& it) { return it.target->kept_free_until > now; });
   const bool has_kept = kept != targets.end();
   if (!has_kept && !MayIsolateAnother(targets)) return nullptr;
+  const auto may_fit = [&](const FreeTarget& it) {
+    return Fits(need, it.target->entry.capacity) && is_eligible(*it.target);
+  };
+  const bool any_established =
+      std::any_of(targets.begin(), targets.end(), [&](const FreeTarget& it) {
+        return IsEstablished(*it.target, now) && may_fit(it);
+      });
+  const auto is_sound = [&](const FreeTarget& it) {
+    return !any_established || IsEstablished(*it.target, now);
+  };
   FreeTarget* best = FindEmptiest(targets, [&](const FreeTarget& it) {
     return Fits(need, it.free) && !HasPossibleCause(*it.target) &&
-           is_eligible(*it.target);
+           is_eligible(*it.target) && is_sound(it);
   });
   if (best != nullptr) {
     if (has_kept) {
@@ -62,8 +79,7 @@
   }
   if (has_kept) return nullptr;
   best = FindEmptiest(targets, [&](const FreeTarget& it) {
-    return !it.isolated && Fits(need, it.target->entry.capacity) &&
-           is_eligible(*it.target);
+    return !it.isolated && may_fit(it) && is_sound(it);
   });
   if (best != nullptr) {
     best->isolated = true;
--- a/Source/Policy/target_instance.cc
+++ b/Source/Policy/target_instance.cc
@@ -62,6 +62,7 @@
   HandleTargetCrash(owner, target, "the target restarted", present, unanswered,
                     context);
   target.entry.started_unix_ms = reply.started_unix_ms;
+  target.found_at = context.time.now;
   ResetInstance(target);
   // A late request in the time of the earlier instance may extend the lease.
   target.latest_lease_end =
--- a/Tests/Fleet/placement_test.cc
+++ b/Tests/Fleet/placement_test.cc
@@ -427,5 +427,30 @@
   CHECK(fixture.AssignedTargets(kSecondJob).size() == 12);
 }
 
+// Guards against sound tasks that are given up because they were placed again
+// and again on the target that had just crashed, which is the emptiest.
+TEST_CASE("a task that may crash its target avoids those just restarted") {
+  PlacementFixture fixture;
+  Job& job = fixture.AddJob(kFirstJob, MakeStep(1, 1000));
+  Task& task = job.open_occurrences.at(0).steps[0].tasks[0];
+  task.crashed_runs[1] = CrashEvidence::kShared;
+  fixture.owner.crash_suspects.insert({kFirstJob, 0, 0, 0});
+  TargetView& restarted = fixture.owner.targets.at("i-0");
+  restarted.found_at = kNow - milliseconds(300);
+  for (const char* id : {"i-1", "i-2", "i-3"}) {
+    fixture.owner.targets.at(id).used.cpu_milli = 2000;
+  }
+  SECTION("while others have room") {
+    fixture.Place();
+    REQUIRE(fixture.AssignedTargets(kFirstJob).size() == 1);
+    CHECK(fixture.AssignedTargets(kFirstJob)[0] != "i-0");
+  }
+  SECTION("unless all have just restarted") {
+    for (auto& [id, target] : fixture.owner.targets) target.found_at = kNow;
+    fixture.Place();
+    CHECK(fixture.AssignedTargets(kFirstJob).size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
