Policy: End jobs that last only for crashes in a row

A task was given up after four crashes in any case, and where targets crash all the time a task that lasts collects four in a minute, though its runs had lasted for seconds between them.

Four crashes are kept, for which its row has room.

--- a/Source/Policy/crashes.cc
+++ b/Source/Policy/crashes.cc
@@ -25,6 +25,10 @@
 /// caused the last one, and in any case.
 constexpr std::int64_t kConfirmedCrashesToGiveUp = 2;
 constexpr std::size_t kCrashesToGiveUp = 4;
+/// Crashes that a long-running task must certainly have caused. Giving up its
+/// job stops tasks that are at work, so crashes for other reasons count
+/// nothing.
+constexpr std::int64_t kCertainCrashesToGiveUp = 3;
 /// Names listed in a log line.
 constexpr std::size_t kMaxLoggedTasks = 6;
 
@@ -53,6 +57,16 @@
   return run.phase == RunPhase::kPlanned || MayHaveCausedCrash(target, run);
 }
 
+/// Forgets the earliest crash of a task that it has not certainly caused, if
+/// there are more than a row has room for.
+void KeepFewCrashes(Task& task) {
+  if (task.crashed_runs.size() <= kCrashesToGiveUp) return;
+  const auto earliest = std::find_if(
+      task.crashed_runs.begin(), task.crashed_runs.end(),
+      [](const auto& run) { return run.second != CrashEvidence::kCertain; });
+  if (earliest != task.crashed_runs.end()) task.crashed_runs.erase(earliest);
+}
+
 /// Returns false if the run does not count or was counted before.
 bool CountCrash(Owner& owner, const CrashCause& cause) {
   Job* job = FindJob(owner, cause.task.job);
@@ -62,6 +76,7 @@
   if (!task->crashed_runs.emplace(cause.run, cause.evidence).second) {
     return false;
   }
+  if (StepOf(*job, cause.task.step).long_running) KeepFewCrashes(*task);
   owner.crash_suspects.insert(cause.task);
   MarkJobChanged(owner, *job);
   return true;
@@ -90,7 +105,13 @@
   }
 }
 
-bool MustGiveUp(const Task& task) {
+bool MustGiveUp(const Task& task, bool long_running) {
+  if (long_running) {
+    return std::count_if(task.crashed_runs.begin(), task.crashed_runs.end(),
+                         [](const auto& run) {
+                           return run.second == CrashEvidence::kCertain;
+                         }) >= kCertainCrashesToGiveUp;
+  }
   const auto confirmed = std::count_if(
       task.crashed_runs.begin(), task.crashed_runs.end(), [](const auto& run) {
         return run.second != CrashEvidence::kUnconfirmed;
@@ -194,7 +215,7 @@
   ForEachTask(job, [&](const TaskName& name, Task& task) {
     if (task.done || task.crashed_runs.empty()) return;
     owner.crash_suspects.insert(name);
-    if (!MustGiveUp(task)) return;
+    if (!MustGiveUp(task, StepOf(job, name.step).long_running)) return;
     crashing = name;
     crashes = task.crashed_runs.size();
   });
@@ -208,12 +229,16 @@
 void ClearCrashesAfterLongRun(Owner& owner, const TaskName& name,
                               const Run& run, Context& context) {
   if (owner.crash_suspects.empty() || !run.confirmed_at ||
-      *run.confirmed_at + kClearAfter > context.time.now ||
-      owner.crash_suspects.erase(name) == 0) {
+      owner.crash_suspects.count(name) == 0) {
     return;
   }
   Job* job = FindJob(owner, name.job);
   Task* task = job == nullptr ? nullptr : FindTask(*job, name);
+  // Only crashes in a row count for a task that lasts.
+  const bool lasts = task != nullptr && StepOf(*job, name.step).long_running;
+  const Duration clear_after = lasts ? kCrashWindow : kClearAfter;
+  if (*run.confirmed_at + clear_after > context.time.now) return;
+  owner.crash_suspects.erase(name);
   if (task == nullptr) return;
   task->crashed_runs.clear();
   MarkJobChanged(owner, *job);
--- a/Tests/Fleet/fleet_crash_test.cc
+++ b/Tests/Fleet/fleet_crash_test.cc
@@ -4,6 +4,7 @@
 
 #include "Fleet/fleet_simulation.h"
 #include "Fleet/owner_fixture.h"
+#include "Policy/crashes.h"
 #include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
@@ -175,6 +176,55 @@
   ExpectFailedOnlyAfterTwoCrashes(simulation);
 }
 
+/// An owner with a job whose only task lasts.
+struct OwnerWithLastingTask : OwnerFixture {
+  Job& job = AddJob(JobId(1));
+  Task& task = job.open_occurrences.at(0).steps[0].tasks[0];
+
+  OwnerWithLastingTask() { job.record.spec.steps[0].long_running = true; }
+
+  /// Counts a crash under the task. Returns true if the job is given up.
+  bool GivesUpAfter(std::int64_t run, CrashEvidence evidence) {
+    Context context = MakeContext();
+    CountCrashedAssignment(owner, FirstTask(1), {.target = "i-1", .run = run},
+                           context);
+    task.crashed_runs[run] = evidence;
+    GiveUpCrashingJob(owner, job, context);
+    return IsFinal(job.state);
+  }
+};
+
+// khumbu-sched-grown crash-slow, AVAIL 86: jobs that last were given up for
+// crashes that their tasks had not caused, and their sound tasks were stopped.
+TEST_CASE("crashes without a certain cause do not end a job that lasts") {
+  const auto evidence =
+      GENERATE(CrashEvidence::kUnconfirmed, CrashEvidence::kShared);
+  OwnerWithLastingTask fixture;
+  for (std::int64_t run = 1; run <= 20; ++run) {
+    CHECK_FALSE(fixture.GivesUpAfter(run, evidence));
+    // The progress row of the task has room for four.
+    CHECK(fixture.task.crashed_runs.size() <= 4);
+  }
+  CHECK_FALSE(fixture.GivesUpAfter(21, CrashEvidence::kCertain));
+  CHECK_FALSE(fixture.GivesUpAfter(22, CrashEvidence::kCertain));
+  CHECK(fixture.GivesUpAfter(23, CrashEvidence::kCertain));
+}
+
+// Guards against crashes that add up over the long time for which a sound task
+// runs.
+TEST_CASE("a run that its target survives clears a task that lasts") {
+  const bool lasts = GENERATE(false, true);
+  OwnerWithLastingTask fixture;
+  fixture.job.record.spec.steps[0].long_running = lasts;
+  CHECK_FALSE(fixture.GivesUpAfter(1, CrashEvidence::kCertain));
+  Run run;
+  run.confirmed_at = fixture.now;
+  fixture.now += seconds(1);
+  Context context = fixture.MakeContext();
+  ClearCrashesAfterLongRun(fixture.owner, FirstTask(1), run, context);
+  CHECK(fixture.task.crashed_runs.empty() == lasts);
+}
+
 // khumbu-sched with 40 targets restarted at once, LOST 28 in a trial: tasks
 // waited for a target of their own while most of the room was free.
 TEST_CASE("many tasks whose targets crashed at once soon run again") {
