--- a/Source/Policy/crashes.cc
+++ b/Source/Policy/crashes.cc
@@ -25,9 +25,8 @@
 /// caused the last one, and in any case.
 constexpr std::int64_t kConfirmedCrashesToGiveUp = 2;
 constexpr std::size_t kCrashesToGiveUp = 4;
-/// Crashes that a long-running task must certainly have caused. Giving up its
-/// job stops tasks that are at work, so crashes for other reasons count
-/// nothing.
+/// Crashes in a row that a long-running task must certainly have caused. Giving
+/// up its job stops tasks that are at work.
 constexpr std::int64_t kCertainCrashesToGiveUp = 3;
 /// Names listed in a log line.
 constexpr std::size_t kMaxLoggedTasks = 6;
