Entry: Log outdated configurations and requests that time out

Each host now logs when it no longer knows whether its configuration is the newest (configuration_outdated, configuration_current; bound ConfigApplyMs) and each request that times out, with the address. The metrics get configuration_age_seconds and request_timeouts_total. No decision changes.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -123,7 +123,9 @@
       backend_(backend),
       codec_(codec),
       log_(STDOUT_FILENO, settings.node),
-      peer_client_(loop, HttpClientLimits{}),
+      peer_client_(
+          loop, HttpClientLimits{},
+          [this](const ExchangeTimeout& timeout) { RecordTimeout(timeout); }),
       caller_server_(
           loop, CallerLimits(),
           [this](const HttpRequest& request, const Responder& responder) {
@@ -262,6 +264,12 @@
       {{"changed", changed ? "yes" : "no"}});
 }
 
+void EntryHost::RecordTimeout(const ExchangeTimeout& timeout) {
+  ++metrics_.request_timeouts;
+  Log(Severity::kWarn, "request_timed_out",
+      {{"address", ToString(timeout.address)}});
+}
+
 void EntryHost::ServeCaller(const HttpRequest& request,
                             const Responder& responder) {
   const EventTime time = Now();
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -69,6 +69,9 @@
   /// Applies reloaded timing settings; on an error the present ones stay.
   void Reload(const absl::StatusOr<TimingSettings>& timing);
 
+  /// Counts and logs a request of this host that timed out.
+  void RecordTimeout(const ExchangeTimeout& timeout);
+
   const EntryState& entry() const { return entry_; }
   Address CallerAddress() const { return caller_server_.BoundAddress(); }
   Address PeerAddress() const { return peer_server_.BoundAddress(); }
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -113,6 +113,14 @@
               entry.configuration.has_value()
                   ? static_cast<double>(entry.configuration->version)
                   : 0);
+  if (entry.configuration.has_value()) {
+    AppendGauge(out, "configuration_age_seconds",
+                "Since the configuration was last known to be the newest.",
+                SecondsSince(entry.configuration_follower.known_at, now));
+  }
+  AppendGauge(out, "request_timeouts_total",
+              "Requests to other systems without a response in time.",
+              static_cast<double>(metrics.request_timeouts));
   AppendGauge(out, "calls_open", "Calls that are not answered.",
               static_cast<double>(entry.calls.size()));
   AppendGauge(out, "log_lines", "Lines logged.",
--- a/Source/Fleet/fleet_metrics.h
+++ b/Source/Fleet/fleet_metrics.h
@@ -20,6 +20,7 @@
   std::map<std::string, LatencySeries> reply_seconds;  ///< By system.
   std::map<std::pair<std::string, std::string>, std::int64_t>
       replies;  ///< By system and result.
+  std::int64_t request_timeouts = 0;
   std::int64_t log_lines = 0;
   std::int64_t log_lines_dropped = 0;
   std::int64_t relay_links = 0;
--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -74,6 +74,7 @@
     Impl* owner = nullptr;
     std::int64_t number = 0;
     h2o_http1client_t* client = nullptr;
+    Address address;
     Pool* pool = nullptr;  ///< Null for a fresh connection.
     std::string request_text;
     h2o_iovec_t write_buffer{};
@@ -91,8 +92,9 @@
     }
   };
 
-  Impl(EventLoop& event_loop, const HttpClientLimits& bounds)
-      : loop(event_loop), limits(bounds) {
+  Impl(EventLoop& event_loop, const HttpClientLimits& bounds,
+       TimeoutObserver observer)
+      : loop(event_loop), limits(bounds), on_timeout(std::move(observer)) {
     h2o_timeout_init(loop.raw(), &io_timeout, kIoTimeoutMs);
     context.loop = loop.raw();
     context.io_timeout = &io_timeout;
@@ -257,12 +259,14 @@
     }
     ResetOnClose(exchange.client);
     h2o_http1client_cancel(exchange.client);
+    if (exchange.sent) on_timeout({exchange.address});
     Finish(exchange, exchange.sent ? TransferResult::kTimedOut
                                    : TransferResult::kNotConnected);
   }
 
   EventLoop& loop;
   HttpClientLimits limits;
+  TimeoutObserver on_timeout;
   h2o_http1client_ctx_t context{};
   h2o_timeout_t io_timeout{};
   std::map<Address, Pool, AddressLess> pools;
@@ -271,8 +275,9 @@
   std::int64_t next_exchange = 1;
 };
 
-HttpClient::HttpClient(EventLoop& loop, const HttpClientLimits& limits)
-    : impl_(std::make_unique<Impl>(loop, limits)) {}
+HttpClient::HttpClient(EventLoop& loop, const HttpClientLimits& limits,
+                       TimeoutObserver on_timeout)
+    : impl_(std::make_unique<Impl>(loop, limits, std::move(on_timeout))) {}
 
 HttpClient::~HttpClient() {
   for (auto& [number, exchange] : impl_->exchanges) {
@@ -292,6 +297,7 @@
   auto exchange = std::make_unique<Impl::Exchange>();
   exchange->owner = impl_.get();
   exchange->number = number;
+  exchange->address = request.address;
   exchange->request_text = FormatRequest(request);
   exchange->callback = std::move(callback);
   exchange->transfer_deadline = request.transfer_deadline;
--- a/Source/Http/http_client.h
+++ b/Source/Http/http_client.h
@@ -42,13 +42,26 @@
       5'000;  ///< For pooled connections that are not in use.
 };
 
+/// An exchange that got no response in time.
+struct ExchangeTimeout {
+  Address address;
+
+  friend bool operator==(const ExchangeTimeout&,
+                         const ExchangeTimeout&) = default;
+};
+
+using TimeoutObserver = std::function<void(const ExchangeTimeout&)>;
+
 /// HTTP/1.1 client with one connection pool per address.
 ///
 /// The connection of an incomplete exchange is closed, so that a late response
 /// cannot be read as the response of another exchange.
 class HttpClient {
  public:
-  HttpClient(EventLoop& loop, const HttpClientLimits& limits);
+  /// `on_timeout` is called for each exchange that times out.
+  HttpClient(
+      EventLoop& loop, const HttpClientLimits& limits,
+      TimeoutObserver on_timeout = [](const ExchangeTimeout&) {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -15,6 +15,22 @@
 /// time of another read.
 constexpr Duration kMaxStoreSilence = std::chrono::milliseconds(1500);
 
+/// Logs when the configuration ceases to be current and when it is so again.
+void UpdateConfigurationOutdated(EntryState& entry, Context& context) {
+  const bool outdated = entry.configuration.has_value() &&
+                        !IsConfigurationCurrent(entry, context.time.now);
+  if (outdated == entry.configuration_outdated) return;
+  entry.configuration_outdated = outdated;
+  const Duration age = context.time.now - entry.configuration_follower.known_at;
+  Log(context, outdated ? Severity::kWarn : Severity::kInfo,
+      outdated ? "configuration_outdated" : "configuration_current",
+      {{"version", std::to_string(entry.configuration->version)},
+       {"revision", std::to_string(entry.configuration_follower.revision)},
+       {"age_ms", std::to_string(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(age)
+                          .count())}});
+}
+
 void ApplyConfiguration(EntryState& entry, const StoreRows& reply,
                         Context& context) {
   for (const Wave& wave : reply.waves) {
@@ -75,6 +91,7 @@
 
 void AdvanceAll(EntryState& entry, Context& context) {
   AdvanceTableFollower(entry.configuration_follower, context);
+  UpdateConfigurationOutdated(entry, context);
   AdvanceTableFollower(entry.ownership_follower, context);
   AdvanceOwnership(entry, context);
   if (entry.owner.has_value()) {
@@ -237,6 +254,12 @@
   ReleaseOwnership(entry, context);
 }
 
+bool IsConfigurationCurrent(const EntryState& entry, Instant now) {
+  return entry.configuration.has_value() &&
+         now <= entry.configuration_follower.known_at +
+                    entry.timing.max_configuration_age;
+}
+
 bool IsServing(const EntryState& entry, Instant now) {
   const bool store_responsive =
       entry.ownership.loaded &&
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -130,6 +130,7 @@
   TimingSettings timing;
   std::int64_t next_id = 1;  ///< Of the next request.
   std::optional<Configuration> configuration;
+  bool configuration_outdated = false;  ///< As last logged.
   std::map<std::int64_t, Wave> waves;
   TableFollower configuration_follower{.table = Table::kConfiguration,
                                        .watch_wait = std::chrono::seconds(2)};
@@ -194,6 +195,10 @@
 OwnerReply AnswerOwnerQuery(const EntryState& entry, OwnerQueryKind kind,
                             const std::string& key, Instant now);
 
+/// True while every configuration that was stored longer ago than the time in
+/// which it must be in force is in force here.
+bool IsConfigurationCurrent(const EntryState& entry, Instant now);
+
 /// True while the host can serve callers: it has a configuration, is not
 /// stopping, and the store is responsive. A host without the store cannot
 /// accept jobs, while other hosts can.
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -36,6 +36,8 @@
   Duration max_task_stop = std::chrono::milliseconds(900);
   /// Shortest time between host requests of two successive owners.
   Duration host_request_gap = std::chrono::seconds(3);
+  /// Time in which a configuration that was stored must be in force.
+  Duration max_configuration_age = std::chrono::seconds(2);
   /// How long callers can query the final state of a job.
   Duration final_state_retention = std::chrono::seconds(120);
   /// Largest value of a row that the store takes.
--- a/Tests/Platform/client_test.cc
+++ b/Tests/Platform/client_test.cc
@@ -82,11 +82,13 @@
   TimerId timer_;
 };
 
+void IgnoreTimeout(const ExchangeTimeout&) {}
+
 /// Watches the jobs without a wait and returns the reply.
 fleet::StoreRows WatchJobs(EventLoop& loop, const SlowStore& store) {
   PlatformSettings settings;
   settings.store = store.BoundAddress();
-  PlatformClient client(loop, settings);
+  PlatformClient client(loop, settings, IgnoreTimeout);
   std::optional<fleet::StoreRows> reply;
   client.Watch({.id = 1,
                 .table = fleet::Table::kJobs,
@@ -182,7 +184,7 @@
   settings.store = store.BoundAddress();
   settings.job_parts = 3;
   settings.rows_per_read = 1;
-  PlatformClient client(loop, settings);
+  PlatformClient client(loop, settings, IgnoreTimeout);
   CHECK(ReadAllJobs(loop, client) ==
         std::vector<std::string>{"a0", "b0", "a1", "b1", "a2", "b2"});
   constexpr int kPages = 9;
--- a/Tests/Platform/settings_test.cc
+++ b/Tests/Platform/settings_test.cc
@@ -21,6 +21,7 @@
 [Bounds]
 GraceS = 6
 HoldMaxMs = 9000
+ConfigApplyMs = 3000
 MoveS = 1.5
 UpkeepS = 2
 LeaseMs = 3000
@@ -50,6 +51,7 @@
   CHECK(settings->host.timing.max_lease == std::chrono::seconds(9));
   CHECK(settings->host.timing.host_move == std::chrono::milliseconds(1500));
   CHECK(settings->host.timing.max_row_bytes == 65'536);
+  CHECK(settings->host.timing.max_configuration_age == std::chrono::seconds(3));
   CHECK(settings->has_approvals);
   CHECK(settings->store == Address{"10.200.1.7", 8344});
 }
