Http: Give up connections that went silent together after one timeout

Callers of an entry host got answers by an older configuration for seconds, and jobs that were handed in then took up to 7.3 s. Cause: open connections may go silent together. After a timeout the next request took another connection of the pool, as old as the first one, and timed out as well; a pool was closed only when all of it had been idle for 5 s, so a burst left dozens of connections.

Each connection now has an h2o pool of its own. When an exchange times out, the idle connections to its address are closed whose last response is more than 0.2 s old: a server that is only slow keeps those that it answers on. The most recently used connection is taken first, and each is closed after 5 s without use. Every path through HttpClient has this: the store, targets, relays' own requests, approvals, the host provider, queries between entry hosts, and the table and targets of hyssopbarrowd.

Tests: Http, new. With the old client the first one would need 20 timeouts.

Ruled out: a fresh connection for each retry (fresh_connection of polls), which helps that request only. It stays for polls, since a relay that gets the retry has seen no timeout itself. Weighed: to close all idle connections, which costs a slow server its pool.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -266,8 +266,14 @@
 
 void EntryHost::RecordTimeout(const ExchangeTimeout& timeout) {
   ++metrics_.request_timeouts;
-  Log(Severity::kWarn, "request_timed_out",
-      {{"address", ToString(timeout.address)}});
+  metrics_.connections_given_up +=
+      timeout.idle_closed + (timeout.reused ? 1 : 0);
+  if (!timeout.reused && timeout.idle_closed == 0) return;
+  Log(Severity::kWarn, "connections_given_up",
+      {{"address", ToString(timeout.address)},
+       {"reused", timeout.reused ? "yes" : "no"},
+       {"idle_closed", std::to_string(timeout.idle_closed)},
+       {"kept", std::to_string(timeout.kept)}});
 }
 
 void EntryHost::ServeCaller(const HttpRequest& request,
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -121,6 +121,9 @@
   AppendGauge(out, "request_timeouts_total",
               "Requests to other systems without a response in time.",
               static_cast<double>(metrics.request_timeouts));
+  AppendGauge(out, "connections_given_up_total",
+              "Connections closed because they may have gone silent.",
+              static_cast<double>(metrics.connections_given_up));
   AppendGauge(out, "calls_open", "Calls that are not answered.",
               static_cast<double>(entry.calls.size()));
   AppendGauge(out, "log_lines", "Lines logged.",
--- a/Source/Fleet/fleet_metrics.h
+++ b/Source/Fleet/fleet_metrics.h
@@ -21,6 +21,8 @@
   std::map<std::pair<std::string, std::string>, std::int64_t>
       replies;  ///< By system and result.
   std::int64_t request_timeouts = 0;
+  /// Closed with that of a request that timed out.
+  std::int64_t connections_given_up = 0;
   std::int64_t log_lines = 0;
   std::int64_t log_lines_dropped = 0;
   std::int64_t relay_links = 0;
--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "Model/text.h"
 #include "absl/strings/ascii.h"
@@ -22,6 +23,9 @@
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
 /// A response of which nothing arrives for this long has stalled.
 constexpr Duration kMaxStall = std::chrono::milliseconds(700);
+/// A connection whose last response is not older than this when another one
+/// times out is not taken for silent.
+constexpr Duration kRecentResponse = std::chrono::milliseconds(200);
 
 std::string FormatRequest(const ClientRequest& client_request) {
   const HttpRequest& request = client_request.request;
@@ -62,12 +66,13 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  /// Connections to one address, which are closed together when the pool has
-  /// been idle.
-  struct Pool {
-    h2o_socketpool_t sockets{};
-    std::int64_t exchanges = 0;  ///< In progress.
-    Instant idle_since{};
+  /// A connection to one address, or the attempt to open it. h2o keeps it in a
+  /// pool of its own between two exchanges, so that it can be closed by itself.
+  struct Connection {
+    h2o_socketpool_t pool{};
+    bool in_use = false;
+    bool used_before = false;    ///< Has carried a complete exchange.
+    Instant last_response_at{};  ///< End of its last complete exchange.
   };
 
   struct Exchange {
@@ -75,7 +80,7 @@
     std::int64_t number = 0;
     h2o_http1client_t* client = nullptr;
     Address address;
-    Pool* pool = nullptr;  ///< Null for a fresh connection.
+    Connection* connection = nullptr;  ///< Null for a fresh connection.
     std::string request_text;
     h2o_iovec_t write_buffer{};
     TimerId timer;
@@ -100,56 +105,108 @@
     context.io_timeout = &io_timeout;
   }
 
-  Pool& FindOrAddPool(const Address& address) {
-    auto [it, inserted] = pools.try_emplace(address);
-    if (inserted) {
+  /// Returns an idle connection to `address`, the one that was used last, or a
+  /// new one.
+  Connection& TakeConnection(const Address& address) {
+    auto [it, inserted] = connections.try_emplace(address);
+    if (inserted && connections.size() == 1) ScheduleIdleCheck();
+    Connection* best = nullptr;
+    for (const auto& candidate : it->second) {
+      const bool better = !candidate->in_use &&
+                          (best == nullptr || candidate->last_response_at >
+                                                  best->last_response_at);
+      if (better) best = candidate.get();
+    }
+    if (best == nullptr) {
+      best = it->second.emplace_back(std::make_unique<Connection>()).get();
       sockaddr_in sa = ToSockaddr(address);
       h2o_socketpool_init_by_address(
-          &it->second.sockets, reinterpret_cast<sockaddr*>(&sa), sizeof(sa), 0,
-          limits.connections_per_address);
-      h2o_socketpool_set_timeout(&it->second.sockets, IdleLoop(),
+          &best->pool, reinterpret_cast<sockaddr*>(&sa), sizeof(sa), 0, 1);
+      h2o_socketpool_set_timeout(&best->pool, IdleLoop(),
                                  limits.idle_timeout_ms);
-      if (pools.size() == 1) ScheduleIdleCheck();
     }
-    return it->second;
+    best->in_use = true;
+    return *best;
+  }
+
+  /// Closes the connections to `address` that are idle and of which
+  /// `is_obsolete` is true, and returns their number.
+  template <typename Predicate>
+  std::int64_t CloseIdle(std::vector<std::unique_ptr<Connection>>& list,
+                         Predicate is_obsolete) {
+    return static_cast<std::int64_t>(
+        std::erase_if(list, [&](const auto& connection) {
+          const bool close = !connection->in_use && is_obsolete(*connection);
+          if (close) h2o_socketpool_dispose(&connection->pool);
+          return close;
+        }));
   }
 
   void ScheduleIdleCheck() {
     idle_check = loop.CallAt(loop.Now() + kIdleCheckInterval,
-                             [this] { CloseIdlePools(); });
+                             [this] { CloseUnusedConnections(); });
   }
 
-  void CloseIdlePools() {
+  void CloseUnusedConnections() {
     const Instant idle_limit =
         loop.Now() - std::chrono::milliseconds(limits.idle_timeout_ms);
-    for (auto it = pools.begin(); it != pools.end();) {
-      Pool& pool = it->second;
-      const bool idle = pool.exchanges == 0 && pool.idle_since <= idle_limit;
-      if (idle) h2o_socketpool_dispose(&pool.sockets);
-      it = idle ? pools.erase(it) : std::next(it);
+    for (auto it = connections.begin(); it != connections.end();) {
+      CloseIdle(it->second, [&](const Connection& connection) {
+        return connection.last_response_at <= idle_limit;
+      });
+      it = it->second.empty() ? connections.erase(it) : std::next(it);
     }
-    if (!pools.empty()) ScheduleIdleCheck();
+    if (!connections.empty()) ScheduleIdleCheck();
+  }
+
+  /// Closes the connections that may have gone silent together with that of
+  /// `exchange`, which has timed out.
+  void CloseSilentConnections(const Exchange& exchange) {
+    auto it = connections.find(exchange.address);
+    if (it == connections.end()) return on_timeout({exchange.address});
+    const Instant recent_since = loop.Now() - kRecentResponse;
+    const std::int64_t closed =
+        CloseIdle(it->second, [&](const Connection& connection) {
+          return connection.last_response_at < recent_since;
+        });
+    const bool pooled = exchange.connection != nullptr;
+    on_timeout({.address = exchange.address,
+                .reused = pooled && exchange.connection->used_before,
+                .idle_closed = closed,
+                .kept = static_cast<std::int64_t>(it->second.size()) -
+                        (pooled ? 1 : 0)});
   }
 
-  /// Removes an exchange that has ended.
-  std::unique_ptr<Exchange> Remove(std::int64_t number) {
+  /// Keeps the connection of an exchange for further ones if the exchange is
+  /// complete; h2o has closed it otherwise.
+  void ReleaseConnection(const Exchange& exchange, bool complete) {
+    Connection* connection = exchange.connection;
+    if (connection == nullptr) return;
+    connection->in_use = false;
+    connection->used_before = true;
+    connection->last_response_at = loop.Now();
+    if (complete) return;
+    auto it = connections.find(exchange.address);
+    CloseIdle(it->second, [connection](const Connection& other) {
+      return &other == connection;
+    });
+  }
+
+  /// Removes an exchange that has ended, whose h2o client is closed.
+  std::unique_ptr<Exchange> Remove(std::int64_t number, bool complete) {
     auto it = exchanges.find(number);
     if (it == exchanges.end()) return nullptr;
     std::unique_ptr<Exchange> exchange = std::move(it->second);
     exchanges.erase(it);
-    if (exchange->pool != nullptr) {
-      --exchange->pool->exchanges;
-      exchange->pool->idle_since = loop.Now();
-    }
+    ReleaseConnection(*exchange, complete);
     return exchange;
   }
 
   void Connect(Exchange& exchange, const ClientRequest& request) {
     if (!request.fresh_connection) {
-      exchange.pool = &FindOrAddPool(request.address);
-      ++exchange.pool->exchanges;
+      exchange.connection = &TakeConnection(request.address);
       h2o_http1client_connect_with_pool(&exchange.client, &exchange, &context,
-                                        &exchange.pool->sockets, OnConnect);
+                                        &exchange.connection->pool, OnConnect);
       return;
     }
     h2o_http1client_connect(
@@ -170,7 +227,8 @@
   }
 
   void RunCallback(std::int64_t number, TransferResult result) {
-    const std::unique_ptr<Exchange> exchange = Remove(number);
+    const std::unique_ptr<Exchange> exchange =
+        Remove(number, result == TransferResult::kComplete);
     if (exchange == nullptr) return;
     exchange->callback(result, std::move(exchange->response));
   }
@@ -241,6 +299,13 @@
     return 0;
   }
 
+  /// Closes the connection of an exchange without a complete response.
+  static void CloseClient(Exchange& exchange) {
+    ResetOnClose(exchange.client);
+    h2o_http1client_cancel(exchange.client);
+    exchange.client = nullptr;
+  }
+
   void SetDeadline(Exchange& exchange, Instant deadline) {
     exchange.progressed = false;
     exchange.timer = loop.CallAt(
@@ -257,19 +322,19 @@
                   std::min(now + kMaxStall, exchange.transfer_deadline));
       return;
     }
-    ResetOnClose(exchange.client);
-    h2o_http1client_cancel(exchange.client);
-    if (exchange.sent) on_timeout({exchange.address});
+    CloseClient(exchange);
+    if (exchange.sent) CloseSilentConnections(exchange);
     Finish(exchange, exchange.sent ? TransferResult::kTimedOut
                                    : TransferResult::kNotConnected);
   }
 
   EventLoop& loop;
   HttpClientLimits limits;
-  TimeoutObserver on_timeout;
   h2o_http1client_ctx_t context{};
   h2o_timeout_t io_timeout{};
-  std::map<Address, Pool, AddressLess> pools;
+  TimeoutObserver on_timeout;
+  std::map<Address, std::vector<std::unique_ptr<Connection>>, AddressLess>
+      connections;
   TimerId idle_check;
   std::unordered_map<std::int64_t, std::unique_ptr<Exchange>> exchanges;
   std::int64_t next_exchange = 1;
@@ -285,8 +350,8 @@
   }
   impl_->exchanges.clear();
   impl_->loop.CancelTimer(impl_->idle_check);
-  for (auto& [address, pool] : impl_->pools) {
-    h2o_socketpool_dispose(&pool.sockets);
+  for (auto& [address, list] : impl_->connections) {
+    for (auto& connection : list) h2o_socketpool_dispose(&connection->pool);
   }
   h2o_timeout_dispose(impl_->loop.raw(), &impl_->io_timeout);
 }
@@ -309,12 +374,11 @@
 }
 
 void HttpClient::Cancel(std::int64_t exchange) {
-  const std::unique_ptr<Impl::Exchange> removed = impl_->Remove(exchange);
-  if (removed == nullptr) return;
-  impl_->loop.CancelTimer(removed->timer);
-  if (removed->client == nullptr) return;
-  ResetOnClose(removed->client);
-  h2o_http1client_cancel(removed->client);
+  auto it = impl_->exchanges.find(exchange);
+  if (it == impl_->exchanges.end()) return;
+  impl_->loop.CancelTimer(it->second->timer);
+  if (it->second->client != nullptr) Impl::CloseClient(*it->second);
+  impl_->Remove(exchange, false);
 }
 
 }  // namespace hyssopbarrow
--- a/Source/Http/http_client.h
+++ b/Source/Http/http_client.h
@@ -37,14 +37,17 @@
 /// Limits of a client.
 struct HttpClientLimits {
   std::size_t max_response_bytes = 16UL << 20;
-  std::size_t connections_per_address = 64;
   std::uint64_t idle_timeout_ms =
-      5'000;  ///< For pooled connections that are not in use.
+      5'000;  ///< For connections that are not in use.
 };
 
-/// An exchange that got no response in time.
+/// An exchange that got no response in time, and what this did to the other
+/// connections to its address.
 struct ExchangeTimeout {
   Address address;
+  bool reused = false;  ///< Its connection had carried an exchange before.
+  std::int64_t idle_closed = 0;  ///< Idle connections that were given up.
+  std::int64_t kept = 0;         ///< Connections that are still used.
 
   friend bool operator==(const ExchangeTimeout&,
                          const ExchangeTimeout&) = default;
@@ -52,10 +55,13 @@
 
 using TimeoutObserver = std::function<void(const ExchangeTimeout&)>;
 
-/// HTTP/1.1 client with one connection pool per address.
+/// HTTP/1.1 client that keeps connections open for further exchanges.
 ///
 /// The connection of an incomplete exchange is closed, so that a late response
-/// cannot be read as the response of another exchange.
+/// cannot be read as the response of another exchange. Open connections may go
+/// silent together without being reset. So when an exchange times out, idle
+/// connections to its address that have not delivered a response just before
+/// are closed as well; those of a server that is only slow have.
 class HttpClient {
  public:
   /// `on_timeout` is called for each exchange that times out.
--- /dev/null
+++ b/Tests/Http/http_client_test.cc
@@ -0,0 +1,235 @@
+#include "Http/http_client.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopbarrow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kPollInterval = milliseconds(2);
+/// Detects a test that hangs; not a limit on speed.
+constexpr Duration kTestTimeout = seconds(20);
+
+/// A server whose open connections can go silent: requests on them are read no
+/// more, while new connections are served. Requests for /hang get no response.
+class Server {
+ public:
+  explicit Server(EventLoop& loop) : loop_(loop) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in sa{};
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(sa);
+    auto* address = reinterpret_cast<sockaddr*>(&sa);
+    REQUIRE(bind(listener_, address, size) == 0);
+    REQUIRE(listen(listener_, 128) == 0);
+    REQUIRE(getsockname(listener_, address, &size) == 0);
+    port_ = ntohs(sa.sin_port);
+    Poll();
+  }
+  ~Server() {
+    loop_.CancelTimer(timer_);
+    for (const Connection& connection : connections_) close(connection.fd);
+    close(listener_);
+  }
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  Address BoundAddress() const { return {"127.0.0.1", port_}; }
+
+  /// Makes all open connections silent, or only the `count` oldest ones.
+  void SilenceOpen(std::size_t count = SIZE_MAX) {
+    const std::size_t n = std::min(count, connections_.size());
+    for (std::size_t k = 0; k < n; ++k) connections_[k].silent = true;
+  }
+
+  std::size_t OpenCount() const { return connections_.size(); }
+
+  int accepted = 0;
+
+ private:
+  struct Connection {
+    int fd = -1;
+    bool silent = false;
+    std::string unread;
+  };
+
+  void Poll() {
+    for (int fd = Accept(); fd >= 0; fd = Accept()) {
+      connections_.push_back({.fd = fd});
+      ++accepted;
+    }
+    std::erase_if(connections_, [](Connection& connection) {
+      if (connection.silent || Serve(connection)) return false;
+      close(connection.fd);
+      return true;
+    });
+    timer_ = loop_.CallAt(loop_.Now() + kPollInterval, [this] { Poll(); });
+  }
+
+  int Accept() const {
+    return accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+  }
+
+  /// Answers the requests that have arrived. Returns false at the end of the
+  /// connection.
+  static bool Serve(Connection& connection) {
+    char buf[4096];
+    const ssize_t n = recv(connection.fd, buf, sizeof(buf), 0);
+    if (n == 0) return false;
+    if (n > 0) connection.unread.append(buf, static_cast<std::size_t>(n));
+    const std::string end = "\r\n\r\n";
+    for (std::size_t at = connection.unread.find(end); at != std::string::npos;
+         at = connection.unread.find(end)) {
+      const bool hangs = connection.unread.starts_with("GET /hang");
+      connection.unread.erase(0, at + end.size());
+      const std::string reply =
+          "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+      if (!hangs) send(connection.fd, reply.data(), reply.size(), MSG_NOSIGNAL);
+    }
+    return true;
+  }
+
+  EventLoop& loop_;
+  std::uint16_t port_ = 0;
+  int listener_ = -1;
+  std::vector<Connection> connections_;  ///< In the order of their acceptance.
+  TimerId timer_;
+};
+
+/// A client of one server, with the timeouts that it has reported.
+struct ClientFixture {
+  explicit ClientFixture(std::uint64_t idle_timeout_ms = 5000)
+      : server(loop),
+        client(loop, {.idle_timeout_ms = idle_timeout_ms},
+               [this](const ExchangeTimeout& t) { timeouts.push_back(t); }) {}
+
+  /// Sends a request whose result is added to `results`.
+  void Send(const std::string& path, Duration timeout) {
+    client.Send({.address = server.BoundAddress(),
+                 .request = {.method = "GET", .path = path},
+                 .deadline = SteadyNow() + timeout},
+                [this](TransferResult result, const HttpResponse&) {
+                  results.push_back(result);
+                });
+  }
+
+  /// Runs until `count` results are there and returns the last one.
+  TransferResult Await(std::size_t count) {
+    const Instant deadline = SteadyNow() + kTestTimeout;
+    while (results.size() < count && SteadyNow() < deadline) {
+      loop.RunOnce(SteadyNow() + milliseconds(20));
+    }
+    REQUIRE(results.size() >= count);
+    return results.back();
+  }
+
+  /// Sends one request and returns its result.
+  TransferResult Exchange(const std::string& path, Duration timeout) {
+    const std::size_t count = results.size() + 1;
+    Send(path, timeout);
+    return Await(count);
+  }
+
+  /// Leaves `count` idle connections behind.
+  void OpenConnections(int count) {
+    const std::size_t done = results.size() + static_cast<std::size_t>(count);
+    for (int n = 0; n < count; ++n) Send("/", kTestTimeout);
+    REQUIRE(Await(done) == TransferResult::kComplete);
+    REQUIRE(server.OpenCount() == static_cast<std::size_t>(count));
+  }
+
+  void Run(Duration duration) {
+    const Instant end = SteadyNow() + duration;
+    while (SteadyNow() < end) loop.RunOnce(end);
+  }
+
+  EventLoop loop;
+  Server server;
+  std::vector<ExchangeTimeout> timeouts;
+  std::vector<TransferResult> results;
+  HttpClient client;
+};
+
+// khumbu-sched, CONFIG: each retry of a watch took another of the connections
+// that had gone silent with the first one, for seconds each.
+TEST_CASE("connections that went silent together cost one timeout") {
+  ClientFixture fixture;
+  fixture.OpenConnections(20);
+  fixture.Run(milliseconds(300));
+  fixture.server.SilenceOpen();
+  CHECK(fixture.Exchange("/", milliseconds(100)) == TransferResult::kTimedOut);
+  CHECK(fixture.Exchange("/", kTestTimeout) == TransferResult::kComplete);
+  CHECK(fixture.server.accepted == 21);
+  CHECK(fixture.timeouts ==
+        std::vector<ExchangeTimeout>{{.address = fixture.server.BoundAddress(),
+                                      .reused = true,
+                                      .idle_closed = 19,
+                                      .kept = 0}});
+}
+
+// Guards against the same fault where only a part of the connections is silent.
+TEST_CASE("silent connections cost few timeouts beside sound ones") {
+  ClientFixture fixture;
+  fixture.OpenConnections(20);
+  fixture.server.SilenceOpen(10);
+  for (int n = 0; n < 20; ++n) fixture.Exchange("/", milliseconds(250));
+  CHECK(fixture.timeouts.size() <= 1);
+}
+
+// Guards against a server that is only slow and loses all its connections with
+// each request that times out.
+TEST_CASE("a timeout leaves connections that have just delivered a response") {
+  ClientFixture fixture;
+  fixture.OpenConnections(3);
+  fixture.Send("/hang", milliseconds(300));
+  while (fixture.timeouts.empty()) {
+    fixture.Exchange("/", kTestTimeout);
+    fixture.Run(milliseconds(10));
+  }
+  CHECK(fixture.timeouts[0].kept == 1);
+  CHECK(fixture.timeouts[0].idle_closed == 1);
+  CHECK(fixture.Exchange("/", kTestTimeout) == TransferResult::kComplete);
+  CHECK(fixture.server.accepted == 3);
+}
+
+// Guards against connections of a burst that stay open as long as the address
+// is in use at all.
+TEST_CASE("a connection that is not needed is closed") {
+  ClientFixture fixture(300);
+  fixture.OpenConnections(10);
+  const Instant end = SteadyNow() + seconds(3);
+  while (SteadyNow() < end && fixture.server.OpenCount() > 1) {
+    fixture.Exchange("/", kTestTimeout);
+    fixture.Run(milliseconds(50));
+  }
+  CHECK(fixture.server.OpenCount() == 1);
+  CHECK(fixture.server.accepted == 10);
+}
+
+TEST_CASE("a cancelled exchange closes its connection") {
+  ClientFixture fixture;
+  fixture.OpenConnections(1);
+  const std::int64_t exchange =
+      fixture.client.Send({.address = fixture.server.BoundAddress(),
+                           .request = {.method = "GET", .path = "/hang"},
+                           .deadline = SteadyNow() + kTestTimeout},
+                          [](TransferResult, const HttpResponse&) {});
+  fixture.Run(milliseconds(50));
+  fixture.client.Cancel(exchange);
+  CHECK(fixture.Exchange("/", kTestTimeout) == TransferResult::kComplete);
+  CHECK(fixture.server.accepted == 2);
+}
+
+}  // namespace
+}  // namespace hyssopbarrow
--- a/Utilities/Benchmarks/daemon_bench.cc
+++ b/Utilities/Benchmarks/daemon_bench.cc
@@ -74,7 +74,7 @@
  public:
   Caller(const Address& address, const std::string& path, Instant end)
       : end_(end),
-        client_(loop_, {.connections_per_address = 256}),
+        client_(loop_, HttpClientLimits{}),
         request_{
             .address = address,
             .request = {.method = "POST",
