Entry: Do not put off ticks by other events

Callers saw answers by an older configuration for as long as they called often. Cause: the time of the next tick was counted anew from the present after each event, so that a host with more than 20 calls a second never had one. Ticks send again what failed: a host both of whose watches had failed retried neither until the calls stopped, unless the reply of some other store request came by.

The tick is now due 50 ms after the last one, whatever comes between.

Looked for elsewhere: the timers of relays, HTTP and hyssopbarrowd are set once and fire whatever comes between.

--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -174,6 +174,7 @@
 }
 
 void OnTick(EntryState& entry, const EventTime& time, Effects& out) {
+  entry.next_tick = time.now + kMaxTickInterval;
   Context context = MakeEventContext(entry, time, out);
   AdvanceAll(entry, context);
 }
@@ -268,7 +269,7 @@
 }
 
 Instant NextTick(const EntryState& entry, Instant now) {
-  Instant next = now + kMaxTickInterval;
+  Instant next = entry.next_tick;
   if (entry.owner.has_value()) {
     next = std::min(next, NextDeadline(*entry.owner, now));
   }
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -129,6 +129,8 @@
   Identity self;
   TimingSettings timing;
   std::int64_t next_id = 1;  ///< Of the next request.
+  /// OnTick is due then at the latest. Other events do not put it off.
+  Instant next_tick{};
   std::optional<Configuration> configuration;
   bool configuration_outdated = false;  ///< As last logged.
   std::map<std::int64_t, Wave> waves;
