Entry: Decide by the configuration only while it is current

Callers were refused for routes that had been added, and served with keys that had been withdrawn, by a host that said it was ready. Cause: nothing asked how old the configuration was, and its watch alone (2.82 s until the next one) was longer than the bound ConfigApplyMs (2 s).

A host whose configuration is older than the bound is not ready and refuses jobs and cancels with 503 at once, and others without saying that there is no such queue or key. While the store does not reply, queries that the known version allows are answered: they change nothing, and no host is known to have a newer version. The owner plans and sends no starts then (ceilings, attempts).

A watch of the configuration waits for half of the bound. One that follows a failure (in all tables) or a change of the configuration does not wait, so that one lost reply fits into the bound. A reply that brought a configuration or waves counted as one without changes, whose age could be taken as less than it was.

Configuration age: six cases. The simulated store reports the configuration only when it has changed, as the real one does. Changed for it: tests that set an owner's tables by hand set the age of the configuration, too; 'long-running tasks leave a host' relied on a wave that became known 1 s after a crash, by the phase of the 2 s watch, and now says so.

--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -15,10 +15,29 @@
 /// time of another read.
 constexpr Duration kMaxStoreSilence = std::chrono::milliseconds(1500);
 
+/// Longest wait of a watch of the configuration.
+constexpr Duration kMaxConfigurationWait = std::chrono::seconds(2);
+
+/// Half of the time in which a configuration must be in force, so that the rest
+/// is left for a watch that fails and a further one.
+Duration ConfigurationWait(const TimingSettings& timing) {
+  return std::min(timing.max_configuration_age / 2, kMaxConfigurationWait);
+}
+
+/// Time until which the configuration is current, as far as the store has
+/// replied.
+Instant ConfigurationCurrentUntil(const EntryState& entry) {
+  if (!entry.configuration.has_value()) return {};
+  return entry.configuration_follower.known_at +
+         entry.timing.max_configuration_age;
+}
+
 /// Logs when the configuration ceases to be current and when it is so again.
 void UpdateConfigurationOutdated(EntryState& entry, Context& context) {
-  const bool outdated = entry.configuration.has_value() &&
-                        !IsConfigurationCurrent(entry, context.time.now);
+  const bool known = entry.configuration.has_value() &&
+                     entry.configuration_follower.known_at != Instant{};
+  const bool outdated =
+      known && !IsConfigurationCurrent(entry, context.time.now);
   if (outdated == entry.configuration_outdated) return;
   entry.configuration_outdated = outdated;
   const Duration age = context.time.now - entry.configuration_follower.known_at;
@@ -90,11 +109,13 @@
 }
 
 void AdvanceAll(EntryState& entry, Context& context) {
+  entry.configuration_follower.watch_wait = ConfigurationWait(entry.timing);
   AdvanceTableFollower(entry.configuration_follower, context);
   UpdateConfigurationOutdated(entry, context);
   AdvanceTableFollower(entry.ownership_follower, context);
   AdvanceOwnership(entry, context);
   if (entry.owner.has_value()) {
+    entry.owner->configuration_current_until = ConfigurationCurrentUntil(entry);
     AdvanceTableFollower(entry.targets_follower, context);
     if (!entry.owner->progress_loaded) {
       AdvanceTableFollower(entry.progress_follower, context);
@@ -256,16 +277,17 @@
 }
 
 bool IsConfigurationCurrent(const EntryState& entry, Instant now) {
-  return entry.configuration.has_value() &&
-         now <= entry.configuration_follower.known_at +
-                    entry.timing.max_configuration_age;
+  return now <= ConfigurationCurrentUntil(entry);
+}
+
+bool IsStoreResponsive(const EntryState& entry, Instant now) {
+  return entry.ownership.loaded &&
+         now - entry.ownership.last_store_reply_at <= kMaxStoreSilence;
 }
 
 bool IsServing(const EntryState& entry, Instant now) {
-  const bool store_responsive =
-      entry.ownership.loaded &&
-      now - entry.ownership.last_store_reply_at <= kMaxStoreSilence;
-  return entry.configuration.has_value() && store_responsive && !entry.stopping;
+  return IsConfigurationCurrent(entry, now) && IsStoreResponsive(entry, now) &&
+         !entry.stopping;
 }
 
 Instant NextTick(const EntryState& entry, Instant now) {
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -46,6 +46,10 @@
   Instant known_at{};
   Instant retry_at{};
   bool store_unresponsive = false;  ///< The last request failed.
+  /// A watch that brought changes is followed by one that does not wait:
+  /// `known_at` would else be as old as two watches.
+  bool confirms_changes = false;
+  bool unconfirmed = false;  ///< The next watch is not to wait for that reason.
 };
 
 /// What an entry host has announced about itself.
@@ -134,8 +138,9 @@
   std::optional<Configuration> configuration;
   bool configuration_outdated = false;  ///< As last logged.
   std::map<std::int64_t, Wave> waves;
+  /// Its `watch_wait` follows from TimingSettings::max_configuration_age.
   TableFollower configuration_follower{.table = Table::kConfiguration,
-                                       .watch_wait = std::chrono::seconds(2)};
+                                       .confirms_changes = true};
   TableFollower ownership_follower{
       .table = Table::kOwner, .watch_wait = std::chrono::milliseconds(500)};
   /// A host that is slow needs its time for the replies with many jobs.
@@ -201,9 +206,9 @@
 /// which it must be in force is in force here.
 bool IsConfigurationCurrent(const EntryState& entry, Instant now);
 
-/// True while the host can serve callers: it has a configuration, is not
-/// stopping, and the store is responsive. A host without the store cannot
-/// accept jobs, while other hosts can.
+/// True while the host can serve callers: its configuration is current, it is
+/// not stopping, and the store is responsive. A
+/// host without the store cannot accept jobs, while other hosts can.
 bool IsServing(const EntryState& entry, Instant now);
 
 /// Latest time at which to call OnTick next.
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -175,18 +175,37 @@
                                        .end = call.job + "~"});
   }
 
+  /// Refuses a call without saying that it is not allowed: the configuration
+  /// here may be outdated, and another host may serve it.
+  void RefuseForConfiguration(PendingCall& call, std::string_view detail) {
+    const bool submits = call.call.kind == CallKind::kSubmit;
+    Answer(call, {.outcome = submits ? CallOutcome::kNotAccepted
+                                     : CallOutcome::kUnavailable,
+                  .detail = std::string(detail)});
+  }
+
+  /// True if the call can be answered by a configuration that is outdated
+  /// because the store does not reply: no other host is known to have a newer
+  /// one, and a query changes nothing.
+  bool MayUseOutdatedConfiguration(const PendingCall& call) const {
+    return call.call.kind == CallKind::kState &&
+           !IsStoreResponsive(entry_, context_.time.now);
+  }
+
   /// Checks the call's queue, key and job id, and starts its first request.
   void Admit(PendingCall& call) {
     if (!entry_.configuration.has_value()) {
-      Answer(call, {.outcome = CallOutcome::kNotAccepted,
-                    .detail = "no configuration loaded yet"});
-      return;
+      return RefuseForConfiguration(call, "no configuration loaded yet");
+    }
+    const bool current = IsConfigurationCurrent(entry_, context_.time.now);
+    if (!current && !MayUseOutdatedConfiguration(call)) {
+      return RefuseForConfiguration(call, "the configuration may be outdated");
     }
     const Queue* queue =
         MatchQueue(*entry_.configuration, call.call.host_name, call.call.path);
     if (queue == nullptr) {
-      Answer(call, {.outcome = CallOutcome::kNoQueue});
-      return;
+      if (current) return Answer(call, {.outcome = CallOutcome::kNoQueue});
+      return RefuseForConfiguration(call, "the queue is not known here");
     }
     call.queue = queue->name;
     const Team* team =
@@ -194,8 +213,8 @@
             ? FindTeamByKey(*entry_.configuration, *call.call.key)
             : nullptr;
     if (!queue->open && team == nullptr) {
-      Answer(call, {.outcome = CallOutcome::kBadKey});
-      return;
+      if (current) return Answer(call, {.outcome = CallOutcome::kBadKey});
+      return RefuseForConfiguration(call, "the key is not known here");
     }
     call.job = call.call.path.substr(queue->path_prefix.size());
     if (call.job.empty() && call.call.kind == CallKind::kState) {
--- a/Source/Policy/entry_internal.h
+++ b/Source/Policy/entry_internal.h
@@ -9,6 +9,9 @@
 Context MakeEventContext(EntryState& entry, const EventTime& time,
                          Effects& out);
 
+/// True while the store has replied to the last watches of the ownership.
+bool IsStoreResponsive(const EntryState& entry, Instant now);
+
 /// Sends the follower's next read or watch if it is due.
 void AdvanceTableFollower(TableFollower& follower, Context& context);
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -250,9 +250,11 @@
   owner.next_round = owner.next_full_round;
 }
 
-/// True while the jobs and targets tables are recent enough to start tasks.
+/// True while the configuration and the jobs and targets tables are recent
+/// enough to start tasks.
 bool AreTablesCurrent(const Owner& owner, Instant now) {
-  return now - owner.jobs_known_at <= kMaxJobsAgeForStarts &&
+  return now <= owner.configuration_current_until &&
+         now - owner.jobs_known_at <= kMaxJobsAgeForStarts &&
          now - owner.targets_known_at <= kMaxTargetsAgeForStarts;
 }
 
@@ -276,6 +278,8 @@
   Log(context, outdated ? Severity::kWarn : Severity::kInfo,
       outdated ? "tables_outdated" : "tables_current",
       {{"epoch", std::to_string(owner.epoch)},
+       {"configuration_current",
+        now <= owner.configuration_current_until ? "yes" : "no"},
        {"jobs_age_ms", age_ms(owner.jobs_known_at)},
        {"targets_age_ms", age_ms(owner.targets_known_at)}});
 }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -325,8 +325,10 @@
   bool jobs_loaded = false;
   bool progress_loaded = false;
   bool targets_loaded = false;
-  bool ready = false;       ///< These tables and the configuration are loaded.
-  Instant jobs_known_at{};  ///< As TableFollower::known_at.
+  bool ready = false;  ///< These tables and the configuration are loaded.
+  /// Until then the configuration is current, as far as the store has replied.
+  Instant configuration_current_until{};
+  Instant jobs_known_at{};       ///< As TableFollower::known_at.
   Instant targets_known_at{};    ///< As TableFollower::known_at.
   bool tables_outdated = false;  ///< As of the last sweep; nothing is planned.
 
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -7,13 +7,19 @@
 
 constexpr Duration kTableRetryDelay = std::chrono::milliseconds(120);
 
+bool HasChanges(const StoreRows& reply) {
+  return !reply.last_key.empty() || !reply.rows.empty() ||
+         !reply.targets.empty() || !reply.removed_targets.empty() ||
+         reply.configuration.has_value() || !reply.waves.empty() ||
+         !reply.errors.empty();
+}
+
 /// Earliest time at which the store can have composed the reply to a watch. A
 /// reply may reach this host much later, for example after a pause.
 Instant EarliestReplyTime(const TableFollower& follower, const StoreRows& reply,
                           Instant now) {
-  const bool changed = !reply.rows.empty() || !reply.targets.empty() ||
-                       !reply.removed_targets.empty();
-  const bool waited_in_vain = !changed && now >= follower.request_wait_end;
+  const bool waited_in_vain =
+      !HasChanges(reply) && now >= follower.request_wait_end;
   return waited_in_vain ? follower.request_wait_end : follower.request_sent_at;
 }
 
@@ -26,8 +32,10 @@
   follower.pending_request = context.next_id++;
   follower.request_sent_at = context.time.now;
   if (follower.loaded) {
-    const Duration wait =
-        follower.caught_up ? follower.watch_wait : Duration::zero();
+    // After a failure, the first reply shows at once what has changed.
+    const bool waits = follower.caught_up && !follower.store_unresponsive &&
+                       !follower.unconfirmed;
+    const Duration wait = waits ? follower.watch_wait : Duration::zero();
     follower.request_wait_end = context.time.now + wait;
     context.out.emplace_back(
         WatchRows{.id = follower.pending_request,
@@ -80,6 +88,7 @@
     follower.revision = std::max(follower.revision, reply.revision);
     follower.retry_at = context.time.now + follower.watch_delay;
     follower.caught_up = true;
+    follower.unconfirmed = follower.confirms_changes && HasChanges(reply);
     follower.known_at = EarliestReplyTime(follower, reply, context.time.now);
     result.loaded = true;
     result.caught_up = true;
--- a/Tests/Fleet/configuration_age_test.cc
+++ b/Tests/Fleet/configuration_age_test.cc
@@ -6,6 +6,7 @@
 #include "Fleet/fleet_simulation.h"
 #include "Fleet/owner_fixture.h"
 #include "Policy/entry.h"
+#include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -90,6 +91,65 @@
   std::int64_t calls = 0;
 };
 
+// khumbu-sched, CONFIG: an entry host whose watches got no reply refused a key
+// and a route that had been added, and served a key that had been withdrawn.
+TEST_CASE("an outdated configuration decides neither refusals nor writes") {
+  EntryFixture fixture;
+  fixture.now += milliseconds(1950);
+  fixture.ReplyToOwnership();
+  const auto call = [&](CallKind kind, const std::string& path,
+                        const std::string& key) {
+    return fixture.Call(kind, path, key);
+  };
+  SECTION("current") {
+    CHECK(call(CallKind::kSubmit, kJobPath, "key") == std::nullopt);
+    CHECK(call(CallKind::kCancel, kJobPath, "key") == std::nullopt);
+    CHECK(call(CallKind::kSubmit, "/new/1", "key") == CallOutcome::kNoQueue);
+    CHECK(call(CallKind::kSubmit, kJobPath, "new") == CallOutcome::kBadKey);
+    CHECK(IsServing(fixture.entry, fixture.now));
+  }
+  SECTION("outdated") {
+    fixture.now += milliseconds(51);
+    for (const std::string key : {"key", "new"}) {
+      for (const std::string path : {kJobPath, "/new/1"}) {
+        CAPTURE(path, key);
+        CHECK(call(CallKind::kSubmit, path, key) == CallOutcome::kNotAccepted);
+        CHECK(call(CallKind::kCancel, path, key) == CallOutcome::kUnavailable);
+        CHECK(call(CallKind::kState, path, key) == CallOutcome::kUnavailable);
+      }
+    }
+    CHECK_FALSE(IsServing(fixture.entry, fixture.now));
+  }
+}
+
+// Guards against queries that fail for as long as the store is down.
+TEST_CASE("a host without the store answers queries that it knows to allow") {
+  EntryFixture fixture;
+  fixture.now += seconds(5);
+  CHECK(fixture.Call(CallKind::kState, kJobPath, "key") == std::nullopt);
+  CHECK(fixture.Call(CallKind::kState, kJobPath, "new") ==
+        CallOutcome::kUnavailable);
+  CHECK(fixture.Call(CallKind::kState, "/new/1", "key") ==
+        CallOutcome::kUnavailable);
+  CHECK(fixture.Call(CallKind::kSubmit, kJobPath, "key") ==
+        CallOutcome::kNotAccepted);
+}
+
+// Guards against a host that learns of a change only when a further watch has
+// waited, and against a watch as long as the bound.
+TEST_CASE("a watch that failed is followed by one that does not wait") {
+  EntryFixture fixture;
+  CHECK(fixture.LastWatch().wait == seconds(1));
+  fixture.now += milliseconds(1700);
+  fixture.ReplyToConfiguration({});
+  fixture.now += milliseconds(120);
+  fixture.Tick();
+  CHECK(fixture.LastWatch().wait == Duration::zero());
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk, .revision = 1});
+  CHECK(IsConfigurationCurrent(fixture.entry, fixture.now));
+  CHECK(fixture.LastWatch().wait == seconds(1));
+}
+
 // khumbu-sched, CONFIG: each call put off the next tick by 50 ms, so that a
 // host with more calls than 20 a second did not retry its watches.
 TEST_CASE("calls do not put off the retry of a watch") {
@@ -107,5 +167,46 @@
   CHECK(fixture.LastWatch().id > failed);
 }
 
+// Guards against a configuration whose known age is that of two watches.
+TEST_CASE("a change of the configuration is confirmed by a further watch") {
+  EntryFixture fixture;
+  fixture.now += milliseconds(900);
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk,
+                                .configuration = MakeConfiguration(2),
+                                .revision = 2});
+  CHECK(fixture.LastWatch().wait == Duration::zero());
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk, .revision = 2});
+  CHECK(fixture.entry.configuration_follower.known_at == fixture.now);
+  CHECK(fixture.LastWatch().wait == seconds(1));
+}
+
+TEST_CASE("the watch of the configuration follows its time bound") {
+  EntryFixture fixture;
+  fixture.entry.timing.max_configuration_age = seconds(3);
+  fixture.now += seconds(1);
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk, .revision = 1});
+  CHECK(fixture.LastWatch().wait == milliseconds(1500));
+}
+
+// Guards against starts above a ceiling that was lowered while the owner got no
+// reply to its watches of the configuration alone.
+TEST_CASE("an owner that does not hear of changes starts no waiting job") {
+  FleetSimulation simulation(53, 3, 1);
+  simulation.Run(seconds(2));
+  const int owner = simulation.OwnerIndex();
+  REQUIRE(owner >= 0);
+  simulation.StallWatches(owner, Table::kConfiguration, true);
+  simulation.Run(seconds(3));
+  const std::string id = "00000000000000bb";
+  simulation.Submit(id, SimpleJob(1, false));
+  simulation.Run(seconds(4));
+  CHECK(simulation.OwnerIndex() == owner);
+  CHECK(simulation.StartsOf({id, 0, 0, 0}) == 0);
+  simulation.StallWatches(owner, Table::kConfiguration, false);
+  simulation.Run(seconds(3));
+  CHECK(simulation.StartsOf({id, 0, 0, 0}) == 1);
+  CHECK(simulation.violations.empty());
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -179,6 +179,15 @@
   entries_[ToIndex(n)].disconnected_targets = targets;
 }
 
+void FleetSimulation::StallWatches(int n, Table table, bool stalled) {
+  std::set<Table>& tables = entries_[ToIndex(n)].stalled_tables;
+  if (stalled) {
+    tables.insert(table);
+  } else {
+    tables.erase(table);
+  }
+}
+
 void FleetSimulation::CrashTarget(int n) {
   targets_[ToIndex(n)].down = true;
   targets_[ToIndex(n)].tasks.runs.clear();
@@ -213,6 +222,7 @@
 
 void FleetSimulation::AddWave(Wave wave) {
   waves_[wave.number] = std::move(wave);
+  waves_revision_ = std::max(waves_revision_, store_.revision()) + 1;
 }
 
 void FleetSimulation::ScheduleAfter(Duration delay,
@@ -373,15 +383,19 @@
 }
 
 StoreRows FleetSimulation::ChangesAfter(const WatchRows& request) const {
-  // The tables of the operators and targets are small, so return them whole.
-  const bool read_whole = request.table == Table::kConfiguration ||
-                          request.table == Table::kTargets;
-  if (read_whole) {
+  if (request.table == Table::kConfiguration) {
+    StoreRows out{.status = StoreStatus::kOk};
+    const bool changed = request.revision < waves_revision_;
+    if (changed) out = ReadTable({.table = request.table});
+    out.revision = std::max(store_.revision(), waves_revision_);
+    return out;
+  }
+  // The table of the targets is small, so return it whole.
+  if (request.table == Table::kTargets) {
     StoreRows out = ReadTable({.table = request.table});
     for (const SimulatedTarget& target : targets_) {
-      const bool removed =
-          request.table == Table::kTargets && !target.row.has_value();
-      if (removed) out.removed_targets.push_back(target.tasks.entry.id);
+      if (target.row.has_value()) continue;
+      out.removed_targets.push_back(target.tasks.entry.id);
     }
     return out;
   }
@@ -394,8 +408,7 @@
   if (entries_[ToIndex(n)].instance != instance) return;
   StoreRows rows;
   const SimulatedEntry& host = entries_[ToIndex(n)];
-  const bool stalled =
-      host.job_watches_stalled && request.table == Table::kJobs;
+  const bool stalled = host.stalled_tables.count(request.table) > 0;
   if (store_down_ || host.store_disconnected || stalled) {
     DeliverEvent(
         n,
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -63,9 +63,10 @@
     entries_[ToIndex(n)].store_disconnected = disconnected;
   }
   void DisconnectFromTargets(int n, const std::set<int>& targets);
-  /// The store answers no watch of the jobs table by entry host `n`.
+  /// The store answers no watch of the table by entry host `n`.
+  void StallWatches(int n, Table table, bool stalled);
   void StallJobWatches(int n, bool stalled) {
-    entries_[ToIndex(n)].job_watches_stalled = stalled;
+    StallWatches(n, Table::kJobs, stalled);
   }
   void CrashTarget(int n);  ///< Never replies again; unlisted after 4.5 s.
   /// Sets whether the list of hosts has the host of a target.
@@ -154,7 +155,7 @@
     std::unique_ptr<EntryState> state;  ///< Null while the host is down.
     std::int64_t instance = 0;
     bool store_disconnected = false;
-    bool job_watches_stalled = false;
+    std::set<Table> stalled_tables;
     std::set<int> disconnected_targets;
     std::int64_t frozen_until_us = 0;
     std::int64_t next_tick_us = 0;
@@ -232,6 +233,7 @@
   bool store_down_ = false;
   Configuration configuration_;
   std::map<std::int64_t, Wave> waves_;
+  std::int64_t waves_revision_ = 0;  ///< Of the last change of `waves_`.
   std::map<std::string, JobSpec> specs_;
   std::set<std::string> accepted_jobs_;
   std::set<std::string> cancelled_jobs_;  ///< Including unanswered cancels.
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -295,12 +295,14 @@
   simulation.Run(seconds(1));
   simulation.Submit(JobId(1), spec);
   simulation.Run(seconds(2));
+  // A target crashes 1 s before the owner learns that other hosts are to be
+  // emptied. Its task counts as unavailable at once, before the owner knows
+  // that the target is lost.
+  simulation.CrashTarget(6);
+  simulation.Run(milliseconds(990));
   Wave wave{.number = 1, .duration_ms = 12'000, .max_unavailable = 4};
   for (int n = 0; n < 5; ++n) wave.hosts.push_back(StrCat("m-", n));
   simulation.AddWave(wave);
-  // A target crashes while other hosts are being emptied. Its task counts as
-  // unavailable at once, before the owner knows that the target is lost.
-  simulation.CrashTarget(6);
   simulation.Run(seconds(25));
   CAPTURE(seed);
   CHECK(simulation.IsWavePublishedAsCompleted(1));
@@ -621,6 +623,7 @@
 TEST_CASE("an owner starts no job that was cancelled while it read the jobs") {
   EntryState entry;
   entry.configuration.emplace();
+  entry.configuration_follower.known_at = Instant(seconds(10));
   Owner& owner = entry.owner.emplace();
   owner.progress_loaded = owner.targets_loaded = true;
   owner.target_requests_allowed_until = Instant(seconds(20));
@@ -698,6 +701,7 @@
 TEST_CASE("an owner that is ready knows the waiting jobs of its queues") {
   EntryState entry;
   entry.configuration.emplace();
+  entry.configuration_follower.known_at = Instant(seconds(10));
   Owner& owner = entry.owner.emplace();
   owner.progress_loaded = owner.targets_loaded = true;
   Effects out;
--- a/Tests/Fleet/job_size_test.cc
+++ b/Tests/Fleet/job_size_test.cc
@@ -18,6 +18,7 @@
 struct SubmitFixture {
   SubmitFixture() {
     entry.configuration.emplace();
+    entry.configuration_follower.known_at = Instant(seconds(90));
     entry.configuration->queues.push_back({.name = "book",
                                            .host_name = "jobs.example",
                                            .path_prefix = "/book/",
--- a/Tests/Fleet/owner_fixture.h
+++ b/Tests/Fleet/owner_fixture.h
@@ -31,6 +31,10 @@
 struct OwnerFixture : ContextFixture {
   Owner owner;
 
+  OwnerFixture() {
+    owner.configuration_current_until = now + std::chrono::hours(1);
+  }
+
   /// Adds an active job to queue book.
   Job& AddJob(const std::string& id, std::int64_t tasks = 1) {
     Job& job = owner.jobs[id];
--- a/Tests/Fleet/table_age_test.cc
+++ b/Tests/Fleet/table_age_test.cc
@@ -121,6 +121,7 @@
   Owner owner;
   const Instant now(seconds(90));
   owner.target_requests_allowed_until = now + seconds(1);
+  owner.configuration_current_until = now;
   const auto may_start = [&](int jobs_age_ms, int targets_age_ms) {
     owner.jobs_known_at = now - milliseconds(jobs_age_ms);
     owner.targets_known_at = now - milliseconds(targets_age_ms);
@@ -129,6 +130,8 @@
   CHECK(may_start(2000, 1400));
   CHECK_FALSE(may_start(2001, 0));
   CHECK_FALSE(may_start(0, 1401));
+  owner.configuration_current_until = now - milliseconds(1);
+  CHECK_FALSE(may_start(0, 0));
 }
 
 /// An owner of one target on which a run of a task is planned.
