Configuration: Read each version as far as it can be read

Callers got 404 for all routes of a new version because one number in it had a fraction. Cause: one odd field refused the version as a whole, the watch went on behind it, and the host stayed ready with the one before.

An odd field now affects its own entry: a queue, pool or team without its names is left out, another field has its default value, and a ceiling stays as it was. Such entries are logged by field and counted, and no call is refused with certainty while there are any. Whole numbers may be written as 600.0 in all fields, and a weight may have a fraction. If nothing can be read, the host is not ready, logs configuration_unreadable and goes on by the last version that it could read.

Weighed: to refuse all calls while a version is unreadable. That would stop the fleet for one bad write.

--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -117,7 +117,13 @@
     AppendGauge(out, "configuration_age_seconds",
                 "Since the configuration was last known to be the newest.",
                 SecondsSince(entry.configuration_follower.known_at, now));
+    AppendGauge(out, "configuration_unreadable_entries",
+                "Entries of the version in force that could not be read.",
+                static_cast<double>(entry.configuration->unreadable_entries));
   }
+  AppendGauge(out, "configuration_unreadable",
+              "1 while the store has a newer version that cannot be read.",
+              entry.configuration_unreadable ? 1 : 0);
   AppendGauge(out, "request_timeouts_total",
               "Requests to other systems without a response in time.",
               static_cast<double>(metrics.request_timeouts));
--- a/Source/Model/fields.cc
+++ b/Source/Model/fields.cc
@@ -18,6 +18,16 @@
       StrCat("field '", field, "' must be ", expected));
 }
 
+/// Returns the number if it has no fraction and a double holds it exactly.
+std::optional<std::int64_t> AsWholeNumber(const json& value) {
+  constexpr double kLimit = 9007199254740992;  // 2^53
+  if (!value.is_number_float()) return AsInteger(value);
+  const auto n = value.get<double>();
+  const bool whole = std::trunc(n) == n && n >= -kLimit && n <= kLimit;
+  if (!whole) return std::nullopt;
+  return static_cast<std::int64_t>(n);
+}
+
 }  // namespace
 
 Fields::Fields(const json& object, std::string path)
@@ -30,7 +40,7 @@
 std::int64_t Fields::Integer(const char* name, std::int64_t fallback) {
   const json* value = Find(name);
   if (value == nullptr) return fallback;
-  const std::optional<std::int64_t> n = AsInteger(*value);
+  const std::optional<std::int64_t> n = AsWholeNumber(*value);
   if (!n.has_value()) Fail(name, "an integer");
   return n.value_or(fallback);
 }
--- a/Source/Model/fields.h
+++ b/Source/Model/fields.h
@@ -22,7 +22,8 @@
   /// `path` locates the object; errors prefix field names with it.
   Fields(const nlohmann::json& object, std::string path);
 
-  /// Returns the value of a field, or `fallback` if it is absent.
+  /// Returns the value of a field, or `fallback` if it is absent. A number such
+  /// as 600.0 is an integer, too.
   std::int64_t Integer(const char* name, std::int64_t fallback = 0);
   /// An integer from `low` to `high`.
   std::int64_t Bounded(const char* name, std::int64_t low, std::int64_t high,
--- a/Source/Model/fleet.h
+++ b/Source/Model/fleet.h
@@ -70,8 +70,9 @@
 struct Team {
   std::string name;
   std::vector<std::string> keys;  ///< API keys of its callers.
-  std::int64_t weight = 1;        ///< For the fair share.
+  double weight = 1;              ///< For the fair share.
   Resources ceiling;              ///< Upper limit on use; 0 is unlimited.
+  bool ceiling_readable = true;   ///< False: `ceiling` has the default value.
 
   friend bool operator==(const Team&, const Team&) = default;
 };
@@ -82,6 +83,9 @@
   std::vector<Queue> queues;
   std::map<std::string, Pool> pools;
   std::vector<Team> teams;
+  /// Queues, pools and teams that are left out, or have default values, because
+  /// they could not be read.
+  std::int64_t unreadable_entries = 0;
 
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -50,17 +50,37 @@
                           .count())}});
 }
 
+/// Keeps the former ceilings of teams whose ceilings could not be read: the
+/// default value is no limit.
+void KeepUnreadableCeilings(Configuration& fresh, const Configuration& former) {
+  for (Team& team : fresh.teams) {
+    if (team.ceiling_readable) continue;
+    const Team* before = FindTeam(former, team.name);
+    if (before != nullptr) team.ceiling = before->ceiling;
+  }
+}
+
 void ApplyConfiguration(EntryState& entry, const StoreRows& reply,
                         Context& context) {
   for (const Wave& wave : reply.waves) {
     entry.waves[wave.number] = wave;
     if (entry.owner.has_value()) ApplyWaves(*entry.owner, {wave}, context);
   }
+  if (reply.configuration_unreadable) {
+    entry.configuration_unreadable = true;
+    Log(context, Severity::kError, "configuration_unreadable",
+        {{"version_in_force", std::to_string(entry.configuration.has_value()
+                                                 ? entry.configuration->version
+                                                 : 0)},
+         {"revision", std::to_string(reply.revision)}});
+  }
   if (!reply.configuration.has_value()) return;
-  const Configuration& fresh = *reply.configuration;
-  const bool newer = !entry.configuration.has_value() ||
-                     fresh.version > entry.configuration->version;
-  if (!newer) return;
+  entry.configuration_unreadable = false;
+  Configuration fresh = *reply.configuration;
+  if (entry.configuration.has_value()) {
+    if (fresh.version <= entry.configuration->version) return;
+    KeepUnreadableCeilings(fresh, *entry.configuration);
+  }
   entry.configuration = fresh;
   context.configuration = &*entry.configuration;
   if (entry.owner.has_value()) entry.owner->placement_due = true;
@@ -68,6 +88,7 @@
       {{"version", std::to_string(fresh.version)},
        {"queues", std::to_string(fresh.queues.size())},
        {"teams", std::to_string(fresh.teams.size())},
+       {"unreadable_entries", std::to_string(fresh.unreadable_entries)},
        {"revision", std::to_string(reply.revision)}});
 }
 
@@ -286,7 +307,8 @@
 }
 
 bool IsServing(const EntryState& entry, Instant now) {
-  return IsConfigurationCurrent(entry, now) && IsStoreResponsive(entry, now) &&
+  return IsConfigurationCurrent(entry, now) &&
+         !entry.configuration_unreadable && IsStoreResponsive(entry, now) &&
          !entry.stopping;
 }
 
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -136,6 +136,8 @@
   /// OnTick is due then at the latest. Other events do not put it off.
   Instant next_tick{};
   std::optional<Configuration> configuration;
+  /// The store has a newer configuration, of which nothing could be read.
+  bool configuration_unreadable = false;
   bool configuration_outdated = false;  ///< As last logged.
   std::map<std::int64_t, Wave> waves;
   /// Its `watch_wait` follows from TimingSettings::max_configuration_age.
@@ -206,8 +208,8 @@
 /// which it must be in force is in force here.
 bool IsConfigurationCurrent(const EntryState& entry, Instant now);
 
-/// True while the host can serve callers: its configuration is current, it is
-/// not stopping, and the store is responsive. A
+/// True while the host can serve callers: its configuration is current and no
+/// newer one is unreadable, it is not stopping, and the store is responsive. A
 /// host without the store cannot accept jobs, while other hosts can.
 bool IsServing(const EntryState& entry, Instant now);
 
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -176,7 +176,7 @@
   }
 
   /// Refuses a call without saying that it is not allowed: the configuration
-  /// here may be outdated, and another host may serve it.
+  /// here may be outdated or not fully readable, and another host may serve it.
   void RefuseForConfiguration(PendingCall& call, std::string_view detail) {
     const bool submits = call.call.kind == CallKind::kSubmit;
     Answer(call, {.outcome = submits ? CallOutcome::kNotAccepted
@@ -201,10 +201,13 @@
     if (!current && !MayUseOutdatedConfiguration(call)) {
       return RefuseForConfiguration(call, "the configuration may be outdated");
     }
+    // Whether the lack of a queue or a key here shows that there is none.
+    const bool complete = current && !entry_.configuration_unreadable &&
+                          entry_.configuration->unreadable_entries == 0;
     const Queue* queue =
         MatchQueue(*entry_.configuration, call.call.host_name, call.call.path);
     if (queue == nullptr) {
-      if (current) return Answer(call, {.outcome = CallOutcome::kNoQueue});
+      if (complete) return Answer(call, {.outcome = CallOutcome::kNoQueue});
       return RefuseForConfiguration(call, "the queue is not known here");
     }
     call.queue = queue->name;
@@ -213,7 +216,7 @@
             ? FindTeamByKey(*entry_.configuration, *call.call.key)
             : nullptr;
     if (!queue->open && team == nullptr) {
-      if (current) return Answer(call, {.outcome = CallOutcome::kBadKey});
+      if (complete) return Answer(call, {.outcome = CallOutcome::kBadKey});
       return RefuseForConfiguration(call, "the key is not known here");
     }
     call.job = call.call.path.substr(queue->path_prefix.size());
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -70,6 +70,8 @@
   /// Rows of the tables that the entry hosts write; a null value means deleted.
   std::vector<Row> rows;
   std::optional<Configuration> configuration;
+  /// There is a newer configuration, of which nothing could be read.
+  bool configuration_unreadable = false;
   std::vector<Wave> waves;
   std::vector<Target> targets;
   std::vector<std::string> removed_targets;  ///< Includes unreadable entries.
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -10,8 +10,8 @@
 bool HasChanges(const StoreRows& reply) {
   return !reply.last_key.empty() || !reply.rows.empty() ||
          !reply.targets.empty() || !reply.removed_targets.empty() ||
-         reply.configuration.has_value() || !reply.waves.empty() ||
-         !reply.errors.empty();
+         reply.configuration.has_value() || reply.configuration_unreadable ||
+         !reply.waves.empty() || !reply.errors.empty();
 }
 
 /// Earliest time at which the store can have composed the reply to a watch. A
--- a/Source/Standalone/sample.cc
+++ b/Source/Standalone/sample.cc
@@ -37,7 +37,7 @@
     configuration.pools[name] = {.name = name};
   }
   for (const auto& [name, team] : snapshot.teams) {
-    fleet::Team entry{.name = name, .weight = team.weight};
+    fleet::Team entry{.name = name, .weight = static_cast<double>(team.weight)};
     for (const auto& [key_name, key] : snapshot.keys) {
       if (key.team == name) entry.keys.push_back(key.digest);
     }
--- a/Tests/Fleet/configuration_age_test.cc
+++ b/Tests/Fleet/configuration_age_test.cc
@@ -180,6 +180,22 @@
   CHECK(fixture.LastWatch().wait == seconds(1));
 }
 
+// Guards against a host that ends because the first version is not readable.
+TEST_CASE("a host may start with an unreadable configuration") {
+  EntryState entry;
+  Effects out;
+  OnTick(entry, {.now = Instant(seconds(90))}, out);
+  for (int n = 0; n < 3; ++n) {
+    HandleStoreReply(entry, entry.configuration_follower.pending_request,
+                     {.status = StoreStatus::kOk,
+                      .configuration_unreadable = true,
+                      .revision = 1},
+                     {.now = Instant(seconds(90 + n * 5))}, out);
+    OnTick(entry, {.now = Instant(seconds(93 + n * 5))}, out);
+  }
+  CHECK_FALSE(IsServing(entry, Instant(seconds(105))));
+}
+
 TEST_CASE("the watch of the configuration follows its time bound") {
   EntryFixture fixture;
   fixture.entry.timing.max_configuration_age = seconds(3);
@@ -188,6 +204,57 @@
   CHECK(fixture.LastWatch().wait == milliseconds(1500));
 }
 
+// Guards against a host that passes over a version which it cannot read, says
+// that it is ready and refuses what that version allows.
+TEST_CASE("a host that cannot read the newest configuration is not ready") {
+  EntryFixture fixture;
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk,
+                                .configuration_unreadable = true,
+                                .revision = 2});
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk, .revision = 3});
+  CHECK_FALSE(IsServing(fixture.entry, fixture.now));
+  CHECK(fixture.Call(CallKind::kSubmit, "/new/1", "key") ==
+        CallOutcome::kNotAccepted);
+  CHECK(fixture.Call(CallKind::kSubmit, kJobPath, "new") ==
+        CallOutcome::kNotAccepted);
+  CHECK(fixture.Call(CallKind::kSubmit, kJobPath, "key") == std::nullopt);
+  fixture.ReplyToConfiguration({.status = StoreStatus::kOk,
+                                .configuration = MakeConfiguration(3),
+                                .revision = 4});
+  CHECK(IsServing(fixture.entry, fixture.now));
+  CHECK(fixture.Call(CallKind::kSubmit, "/new/1", "key") ==
+        CallOutcome::kNoQueue);
+}
+
+// Guards against refusals that rest on entries which could not be read.
+TEST_CASE("a configuration that is read in part refuses nothing for certain") {
+  EntryFixture fixture;
+  Configuration partial = MakeConfiguration(2);
+  partial.unreadable_entries = 1;
+  fixture.ReplyToConfiguration(
+      {.status = StoreStatus::kOk, .configuration = partial, .revision = 2});
+  CHECK(IsServing(fixture.entry, fixture.now));
+  CHECK(fixture.Call(CallKind::kSubmit, kJobPath, "key") == std::nullopt);
+  CHECK(fixture.Call(CallKind::kSubmit, "/new/1", "key") ==
+        CallOutcome::kNotAccepted);
+  CHECK(fixture.Call(CallKind::kSubmit, kJobPath, "new") ==
+        CallOutcome::kNotAccepted);
+}
+
+TEST_CASE("a ceiling that cannot be read stays as it was") {
+  EntryFixture fixture;
+  Configuration before = MakeConfiguration(2);
+  before.teams[0].ceiling = {.cpu_milli = 7};
+  fixture.ReplyToConfiguration(
+      {.status = StoreStatus::kOk, .configuration = before, .revision = 2});
+  Configuration odd = MakeConfiguration(3);
+  odd.teams[0].ceiling_readable = false;
+  fixture.ReplyToConfiguration(
+      {.status = StoreStatus::kOk, .configuration = odd, .revision = 3});
+  CHECK(fixture.entry.configuration->version == 3);
+  CHECK(fixture.entry.configuration->teams[0].ceiling.cpu_milli == 7);
+}
+
 // Guards against starts above a ceiling that was lowered while the owner got no
 // reply to its watches of the configuration alone.
 TEST_CASE("an owner that does not hear of changes starts no waiting job") {
