Http: Count the time of a suspended machine in deadlines

A machine may be suspended for seconds, in which std::chrono::steady_clock stands still. The decisions used CLOCK_BOOTTIME already, but the deadlines of requests did not, so that a watch that was sent before waited for its whole time again after.

SteadyNow now reads CLOCK_BOOTTIME, and the entry host uses it.

By reading only: no machine could be suspended here, and no test shows it.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -3,7 +3,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <ctime>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -192,14 +191,9 @@
 }
 
 EventTime EntryHost::Now() const {
-  timespec ts{};
-  clock_gettime(CLOCK_BOOTTIME, &ts);
-  const auto since_boot = std::chrono::seconds(ts.tv_sec) +
-                          std::chrono::duration_cast<Duration>(
-                              std::chrono::nanoseconds(ts.tv_nsec));
   const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
   return {
-      .now = Instant(since_boot),
+      .now = SteadyNow(),
       .unix_ms = std::chrono::duration_cast<milliseconds>(unix_time).count()};
 }
 
--- a/Source/Http/event_loop.cc
+++ b/Source/Http/event_loop.cc
@@ -3,6 +3,7 @@
 #include <h2o.h>
 
 #include <algorithm>
+#include <ctime>
 
 namespace hyssopbarrow {
 namespace {
@@ -12,8 +13,13 @@
 }  // namespace
 
 Instant SteadyNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  // std::chrono::steady_clock stands still while the machine is suspended, so
+  // that deadlines would pass that much later.
+  timespec ts{};
+  clock_gettime(CLOCK_BOOTTIME, &ts);
+  return Instant(std::chrono::seconds(ts.tv_sec) +
+                 std::chrono::duration_cast<Duration>(
+                     std::chrono::nanoseconds(ts.tv_nsec)));
 }
 
 EventLoop::EventLoop() : loop_(h2o_evloop_create()), now_(SteadyNow()) {}
--- a/Source/Http/event_loop.h
+++ b/Source/Http/event_loop.h
@@ -71,7 +71,8 @@
 /// 2.2 provides no way to free.
 void KeepUntilExit(void* object);
 
-/// Reads the steady clock.
+/// Reads the steady clock, which also counts the time while the machine is
+/// suspended.
 Instant SteadyNow();
 
 }  // namespace hyssopbarrow
