Settings: Read the file again when it changes without a signal

The settings file may change without SIGHUP; the program read it only then.

Test: settings, ReadIfChanged reads a settings file that was replaced. Before, there was nothing that could read it again.

--- a/Tests/Platform/settings_test.cc
+++ b/Tests/Platform/settings_test.cc
@@ -1,6 +1,11 @@
 #include "settings.h"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <string>
 
 namespace hyssopbarrow::platform {
@@ -116,12 +121,38 @@
   }
 }
 
-TEST_CASE("ReadSettings names the path of a missing file") {
-  const auto settings = ReadSettings("/nonexistent/boot.toml");
+TEST_CASE("Read names the path of a missing settings file") {
+  const auto settings = SettingsFile("/nonexistent/boot.toml").Read();
   REQUIRE_FALSE(settings.ok());
   CHECK(std::string(settings.status().message()).find("boot.toml") !=
         std::string::npos);
 }
 
+// Guards against settings that change without a signal and do not take effect.
+TEST_CASE("ReadIfChanged reads a settings file that was replaced") {
+  char path[] = "/tmp/hyssopbarrow-settings-XXXXXX";
+  const int fd = mkstemp(path);
+  REQUIRE(fd >= 0);
+  close(fd);
+  const auto write = [&path](const std::string& text) {
+    std::ofstream(path) << text;
+  };
+  write(SettingsWith("HoldMaxMs = 9000", "HoldMaxMs = 9000"));
+  SettingsFile file(path);
+  REQUIRE(file.Read().ok());
+  CHECK_FALSE(file.ReadIfChanged().has_value());
+  write(SettingsWith("HoldMaxMs = 9000", "HoldMaxMs = 8000"));
+  const auto changed = file.ReadIfChanged();
+  REQUIRE(changed.has_value());
+  REQUIRE(changed->ok());
+  CHECK((*changed)->host.timing.max_lease == std::chrono::milliseconds(8000));
+  CHECK_FALSE(file.ReadIfChanged().has_value());
+  std::remove(path);
+  const auto missing = file.ReadIfChanged();
+  REQUIRE(missing.has_value());
+  CHECK_FALSE(missing->ok());
+  CHECK_FALSE(file.ReadIfChanged().has_value());
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::platform
