--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -17,6 +17,7 @@
 #include "Policy/changed_jobs.h"
 #include "Policy/fleet_effects.h"
 #include "Policy/job_table.h"
+#include "Policy/run_times.h"
 #include "Policy/target_clock.h"
 
 namespace hyssopbarrow::fleet {
@@ -352,6 +353,7 @@
   std::set<TaskName> crash_suspects;
   std::int64_t crash_count = 0;  ///< Crashes of targets with runs.
   std::map<std::string, Resources> team_used;
+  RunTimes run_times;
   std::unordered_map<std::int64_t, PendingTargetRequest>
       pending_target_requests;
   std::map<std::string, Approval> approvals;  ///< By step.
