Policy: Record each host request before it is sent

Cause: an owner that was cut off and then killed left a move on its way. Nothing was stored before a request was sent.

A request now leaves only after a commit has stored a record for its host. Ruled out: waiting for silence, which says nothing of a request that is held up by a cut; and asking the provider, whose list shows only what has been carried out.

The signature of ApplyProgressRows has a context now, so its two older tests pass one.

--- a/Source/Policy/commit_rows.cc
+++ b/Source/Policy/commit_rows.cc
@@ -215,6 +215,11 @@
   return false;
 }
 
+void AddProgressWrite(Draft& draft, std::string key, nlohmann::json value) {
+  const std::int64_t bytes = value.is_null() ? 0 : SizeOf(value);
+  AddWrite(draft, std::move(key), std::move(value), bytes);
+}
+
 void AddWaveWrites(Owner& owner, Draft& draft, Context& context) {
   for (auto& [number, view] : owner.host_manager.waves) {
     if (view.progress_stored) continue;
--- a/Source/Policy/commit_rows.h
+++ b/Source/Policy/commit_rows.h
@@ -32,6 +32,10 @@
 /// there is none.
 bool AddIsolatedJob(Owner& owner, Draft& draft, Context& context);
 
+/// Adds the write of a small row of the progress table; a null value deletes
+/// it.
+void AddProgressWrite(Draft& draft, std::string key, nlohmann::json value);
+
 /// Adds the progress of the maintenance waves that have changed.
 void AddWaveWrites(Owner& owner, Draft& draft, Context& context);
 
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -116,7 +116,7 @@
   if (!owner.progress_loaded) {
     const TableUpdate progress =
         HandleTableReply(entry.progress_follower, id, reply, context);
-    if (progress.has_rows) ApplyProgressRows(owner, reply);
+    if (progress.has_rows) ApplyProgressRows(owner, reply, context);
     if (progress.loaded) owner.progress_loaded = true;
     if (progress.matched) return;
   }
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -72,6 +72,8 @@
   std::string holder;
   std::string address;
   bool released = true;  ///< No host holds the lease.
+  /// The holder stores a record before it sends a host request.
+  bool records_host_requests = false;
   /// Latest time at which an owner before the holder may send requests to
   /// targets.
   Instant earlier_requests_end{};
--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -9,6 +9,7 @@
 
 #include "Policy/crashes.h"
 #include "Policy/host_planner.h"
+#include "Policy/host_records.h"
 #include "Policy/owner_runs.h"
 
 namespace hyssopbarrow::fleet {
@@ -22,8 +23,6 @@
 constexpr Duration kActiveListInterval = milliseconds(500);
 constexpr Duration kInactiveListInterval = milliseconds(2000);
 constexpr Duration kHostRequestRetryDelay = milliseconds(400);
-/// Largest assumed difference between the wall clocks of two machines.
-constexpr Duration kMaxClockSkew = milliseconds(3000);
 constexpr Duration kWaveRowRetryDelay = milliseconds(300);
 
 using HostsByTarget = std::unordered_map<std::string_view, const Host*>;
@@ -215,16 +214,10 @@
   if (TargetView* target = FindTargetOn(host)) target->reserved = true;
 }
 
-bool HostPlanner::MaySendHostRequest(const TargetView* target) const {
-  if (now() >= owner_.host_requests_allowed_until) return false;
-  if (now() >= host_manager_.requests_allowed_from) return true;
-  if (target == nullptr || !target->synced || target->unanswered_polls > 0) {
-    return false;
-  }
-  const std::int64_t uptime_ms =
-      context_.time.unix_ms - target->entry.started_unix_ms;
-  return milliseconds(uptime_ms) >
-         context_.timing.host_request_gap + kMaxClockSkew;
+bool HostPlanner::MaySendHostRequest(const HostView& host) {
+  return now() < owner_.host_requests_allowed_until &&
+         IsFreeOfEarlierRequests(owner_, host.host.name, now()) &&
+         EnsureRequestRecorded(owner_, host.host.name);
 }
 
 double HostPlanner::CpuUtilization(const HostView& host) {
@@ -254,7 +247,6 @@
     EvictTasks(*target);
     return;
   }
-  if (!MaySendHostRequest(target)) return;
   if (!host.request_sent && host.operation == HostOperation::kMaintenance) {
     const WaveView& wave = host_manager_.waves[host.wave];
     if (CountHostsInMaintenance(host.wave) >=
@@ -264,11 +256,12 @@
   }
   const bool moved = host.operation == HostOperation::kMove &&
                      host.request_sent && host.host.pool == host.destination;
-  if (moved) return;
+  if (moved || !MaySendHostRequest(host)) return;
   host.pending_request = context_.next_id++;
   host_manager_.host_by_request[host.pending_request] = host.host.name;
   host.request_sent = true;
   host.request_sent_at = now();
+  RecordHostRequestSent(owner_, host.host.name, now());
   HostRequest request{.id = host.pending_request, .host = host.host.name};
   request.fencing_token = owner_.epoch;
   if (host.operation == HostOperation::kMove) {
@@ -299,9 +292,20 @@
                                             : kInactiveListInterval);
     context.out.emplace_back(ListHosts{.id = manager.pending_host_list});
   }
+  RemoveOldHostRecords(owner, now);
   HostPlanner(owner, context).PlanRound();
 }
 
+void SendRecordedHostRequests(Owner& owner, Context& context) {
+  HostManager& manager = owner.host_manager;
+  if (manager.recorded_hosts.empty()) return;
+  HostPlanner planner(owner, context);
+  for (const std::string& name : std::exchange(manager.recorded_hosts, {})) {
+    auto it = manager.hosts.find(name);
+    if (it != manager.hosts.end()) planner.AdvanceOperation(it->second);
+  }
+}
+
 bool HandleHostListReply(Owner& owner, std::int64_t id, const HostList& list,
                          Context& context) {
   HostManager& manager = owner.host_manager;
@@ -323,6 +327,7 @@
                      Context& context) {
   const auto node = owner.host_manager.host_by_request.extract(id);
   if (node.empty()) return false;
+  RecordHostReply(owner, node.mapped(), result, context);
   auto it = owner.host_manager.hosts.find(node.mapped());
   if (it != owner.host_manager.hosts.end()) {
     const std::string& name = it->first;
--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Policy/host_planner.h"
+#include "Policy/host_records.h"
 #include "Policy/placement.h"
 
 namespace hyssopbarrow::fleet {
@@ -111,7 +112,8 @@
   for (auto& [name, host] : host_manager_.hosts) {
     const bool movable = host.operation == HostOperation::kNone &&
                          host.host.state == HostState::kUp &&
-                         !WaitsForMaintenance(host);
+                         !WaitsForMaintenance(host) &&
+                         IsFreeOfEarlierRequests(owner_, name, now());
     if (!movable) continue;
     const TargetView* target = FindTargetOn(host);
     const bool idle = target == nullptr || !target->listed
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -29,6 +29,9 @@
  public:
   HostPlanner(Owner& owner, Context& context);
   void PlanRound();
+  /// Evicts tasks from a reserved host, and sends the move or maintenance
+  /// request once the host is empty.
+  void AdvanceOperation(HostView& host);
 
  private:
   Instant now() const { return context_.time.now; }
@@ -51,11 +54,9 @@
   /// Stops long-running tasks on a reserved target, as many as their steps
   /// allow to be unavailable.
   void EvictTasks(TargetView& target);
-  /// True if a request to the host of `target` cannot come too soon after one
-  /// of a previous owner: two owners must not send requests to the same host
-  /// within the host request gap. A responsive target that has been up for
-  /// longer than the gap shows that there was no such request.
-  bool MaySendHostRequest(const TargetView* target) const;
+  /// True if a request for the host cannot interleave with one of an earlier
+  /// owner, and the store holds that it may be on its way.
+  bool MaySendHostRequest(const HostView& host);
   /// Counts hosts that this wave's requests have taken out of service and
   /// hosts that are in maintenance for another reason.
   std::int64_t CountHostsInMaintenance(std::int64_t wave) const;
@@ -98,9 +99,6 @@
   void MoveHostsToSparePool(const std::string& name, PoolDemand& demand,
                             const std::vector<HostView*>& empty);
   bool IsEmpty(const TargetView* target) const;
-  /// Evicts tasks from a reserved host, and sends the move or maintenance
-  /// request once the host is empty.
-  void AdvanceOperation(HostView& host);
   /// Writes the row from which operators read whether a wave is completed.
   void WriteWaveRow(std::int64_t number, WaveView& wave);
 
--- a/Source/Policy/maintenance_waves.cc
+++ b/Source/Policy/maintenance_waves.cc
@@ -5,6 +5,7 @@
 
 #include "Model/text.h"
 #include "Policy/host_planner.h"
+#include "Policy/host_records.h"
 #include "Policy/owner_runs.h"
 #include "Policy/store_keys.h"
 
@@ -124,7 +125,8 @@
       ++reserved;
       ++reserved_by_pool[host.host.pool];
     } else if (host.operation == HostOperation::kNone &&
-               host.host.state == HostState::kUp) {
+               host.host.state == HostState::kUp &&
+               IsFreeOfEarlierRequests(owner_, name, now())) {
       unreserved.push_back(&host);
     }
   }
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -8,6 +8,7 @@
 #include "Model/text.h"
 #include "Policy/crashes.h"
 #include "Policy/host_manager.h"
+#include "Policy/host_records.h"
 #include "Policy/owner_commits.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
@@ -319,7 +320,7 @@
   }
 }
 
-void ApplyProgressRows(Owner& owner, const StoreRows& rows) {
+void ApplyProgressRows(Owner& owner, const StoreRows& rows, Context& context) {
   for (const Row& row : rows.rows) {
     std::string_view key = row.key;
     if (key == kCommitKey) continue;
@@ -336,6 +337,10 @@
       }
       continue;
     }
+    if (ConsumePrefix(key, kHostRecordPrefix)) {
+      RestoreHostRecord(owner, key, row.value, context);
+      continue;
+    }
     owner.unmatched_progress[row.key] = row.value;
   }
 }
@@ -482,7 +487,9 @@
 
 Instant NextDeadline(const Owner& owner, Instant now) {
   Instant deadline = std::min(owner.next_sweep, owner.next_round);
-  const bool changes = !owner.changed_jobs.empty() || MayPlaceTasks(owner, now);
+  const bool changes = !owner.changed_jobs.empty() ||
+                       !owner.host_manager.changed_records.empty() ||
+                       MayPlaceTasks(owner, now);
   if (!owner.pending_commit.has_value() && changes) {
     deadline = std::min(deadline, owner.next_commit);
   }
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -209,13 +209,30 @@
   Instant retry_at{};
 };
 
+/// What the store says about the requests for a host. It is stored before a
+/// request is sent, so that a successor knows which requests may still be
+/// carried out.
+struct HostRecord {
+  std::int64_t epoch = 0;  ///< Of the owner that sent the requests.
+  bool open = false;       ///< A request may be on its way.
+  bool stored = false;     ///< The store holds this record.
+  Instant sent_at{};       ///< When the last request was sent.
+  /// Until then a request without a reply may be carried out.
+  Instant unanswered_until{};
+  /// Until then another owner must not send a request for the host.
+  Instant matters_until{};
+};
+
 /// State of the part of the owner that moves and maintains hosts.
 struct HostManager {
   std::map<std::string, HostView> hosts;
   std::map<std::int64_t, WaveView> waves;
-  /// Earliest time of host requests, so that those of two successive owners
-  /// do not interleave.
-  Instant requests_allowed_from{};
+  std::map<std::string, HostRecord> records;  ///< By host.
+  std::set<std::string> changed_records;      ///< Hosts; to be committed.
+  /// Hosts whose records have just been stored; their requests may be due.
+  std::vector<std::string> recorded_hosts;
+  /// Until then requests of an owner that stored no records may be carried out.
+  Instant unrecorded_requests_end{};
   std::int64_t pending_host_list = 0;  ///< Request id; 0 if none.
   Instant next_host_list{};
   Instant host_list_requested_at{};
@@ -262,10 +279,11 @@
   std::vector<TaskRowWrite> task_rows;
   std::string largest_key;  ///< Of the row with the largest value.
   std::int64_t largest_bytes = 0;
-  std::vector<std::string> removed_jobs;  ///< Jobs whose rows are deleted.
-  std::map<std::int64_t, bool> waves;     ///< Whether written as completed.
-  std::deque<UnstoredEnd> ends;           ///< Whose effect it stores.
-  std::size_t rows_left = 0;              ///< Changed rows that did not fit.
+  std::vector<std::string> removed_jobs;     ///< Jobs whose rows are deleted.
+  std::map<std::int64_t, bool> waves;        ///< Whether written as completed.
+  std::map<std::string, bool> host_records;  ///< Whether written as open.
+  std::deque<UnstoredEnd> ends;              ///< Whose effect it stores.
+  std::size_t rows_left = 0;                 ///< Changed rows that did not fit.
   /// Assignments that the commit stores; their starts are sent after it.
   std::vector<std::pair<TaskName, Assignment>> starts_to_send;
 };
@@ -409,7 +427,7 @@
 /// A progress row of a job takes effect when the row of the job is applied.
 void ApplyJobRows(Owner& owner, const StoreRows& rows, bool live,
                   Context& context);
-void ApplyProgressRows(Owner& owner, const StoreRows& rows);
+void ApplyProgressRows(Owner& owner, const StoreRows& rows, Context& context);
 void ApplyTargetRows(Owner& owner, const StoreRows& rows, bool whole,
                      Context& context);
 void ApplyWaves(Owner& owner, const std::vector<Wave>& waves, Context& context);
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -10,6 +10,7 @@
 #include "Model/text.h"
 #include "Policy/commit_rows.h"
 #include "Policy/host_manager.h"
+#include "Policy/host_records.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
@@ -149,6 +150,8 @@
     }
   }
   SendStoredStarts(owner, pending, context);
+  MarkHostRecordsStored(owner, pending);
+  SendRecordedHostRequests(owner, context);
   for (const std::string& id : pending.removed_jobs) owner.jobs.erase(id);
   MarkEndsStored(owner, pending.ends, context);
   for (const auto& [number, completed] : pending.waves) {
@@ -178,6 +181,7 @@
   for (const auto& [number, completed] : pending.waves) {
     owner.host_manager.waves[number].progress_stored = false;
   }
+  MarkHostRecordsUnstored(owner, pending);
 }
 
 /// Narrows down which row made the store refuse a commit, and isolates its job
@@ -222,6 +226,11 @@
   const bool alone =
       owner.commit_waves_alone || AddIsolatedJob(owner, draft, context);
   if (!alone) {
+    // They are left out while the row is sought because of which the store
+    // refused a commit, which is one of a job or a wave.
+    if (owner.commit_job_limit == kMaxCommitRows) {
+      AddHostRecordWrites(owner, draft);
+    }
     AddChangedJobs(owner, draft, context);
     pending.ends = TakeCoveredEnds(owner);
     AddWaveWrites(owner, draft, context);
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -5,6 +5,7 @@
 #include "Model/limits.h"
 #include "Policy/candidacy.h"
 #include "Policy/entry_internal.h"
+#include "Policy/host_records.h"
 #include "Policy/owner_runs.h"
 #include "Policy/store_keys.h"
 
@@ -28,6 +29,8 @@
 /// claim the ownership.
 constexpr Duration kMaxStoreReplyAge = milliseconds(520);
 constexpr const char* kEarlierRequestsField = "earlier_requests_ms";
+/// Owners of earlier versions store no records of their host requests.
+constexpr const char* kRecordsHostRequestsField = "records_host_requests";
 
 RowRef OwnerRowRef(std::string_view key) {
   return {Table::kOwner, std::string(key)};
@@ -51,6 +54,7 @@
           {"epoch", epoch},
           {"renewals", entry.ownership.renewals},
           {kEarlierRequestsField, remaining.count()},
+          {kRecordsHostRequestsField, true},
           {"released", released}};
 }
 
@@ -101,9 +105,10 @@
   owner.earlier_requests_end = ownership.requests_end_before_claim;
   owner.target_requests_allowed_until = LeaseExpiry(claim_sent_at);
   owner.host_requests_allowed_until = owner.target_requests_allowed_until;
-  owner.host_manager.requests_allowed_from =
-      epoch > 1 ? context.time.now + context.timing.host_request_gap
-                : context.time.now;
+  owner.host_manager.unrecorded_requests_end =
+      epoch > 1 && !ownership.records_host_requests
+          ? context.time.now + kMaxHostRequestDelay
+          : context.time.now;
   for (const auto& [number, wave] : entry.waves) {
     ApplyWaves(owner, {wave}, context);
   }
@@ -310,6 +315,8 @@
       ownership.lease_revision = row.revision;
       ownership.address = TextOrEmpty(row.value, "address");
       ownership.released = FlagOrFalse(row.value, "released");
+      ownership.records_host_requests =
+          FlagOrFalse(row.value, kRecordsHostRequestsField);
       ownership.earlier_requests_end = now + EarlierRequestsTime(row.value);
       changed = true;
     }
--- a/Source/Policy/store_keys.h
+++ b/Source/Policy/store_keys.h
@@ -18,6 +18,10 @@
 /// Prefix of rows of waves, followed by the wave number.
 constexpr std::string_view kWavePrefix = "wave/";
 
+/// Prefix of rows with what is known of the requests for a host, followed by
+/// its name.
+constexpr std::string_view kHostRecordPrefix = "host/";
+
 /// Suffix of the key of a row that cancels the job with the preceding id.
 constexpr std::string_view kCancelSuffix = ".x";
 
--- a/Tests/Fleet/fleet_simulation_test.cc
+++ b/Tests/Fleet/fleet_simulation_test.cc
@@ -732,12 +732,12 @@
       {.key = "wave/1", .value = {{"done", {"m-3"}}, {"seen_ms", 70'000}}});
   const Wave wave{.number = 1, .hosts = {"m-1", "m-3"}, .duration_ms = 25'000};
   SECTION("the row comes first") {
-    ApplyProgressRows(owner, rows);
+    ApplyProgressRows(owner, rows, context);
     ApplyWaves(owner, {wave}, context);
   }
   SECTION("the wave comes first") {
     ApplyWaves(owner, {wave}, context);
-    ApplyProgressRows(owner, rows);
+    ApplyProgressRows(owner, rows, context);
   }
   CHECK(owner.host_manager.waves[1].first_seen_unix_ms == 70'000);
   CHECK(owner.host_manager.waves[1].done_hosts == std::set<std::string>{"m-3"});
--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -289,8 +289,12 @@
                  {.key = "wave/2",
                   .value = {{"done", {value, "m-1"}}, {"seen_ms", value}}},
                  {.key = "wave/3", .value = {{"done", value}}},
-                 {.key = "wave/4", .value = {{"done", {"m-4"}}}}}};
-    CHECK_NOTHROW(ApplyProgressRows(owner, rows));
+                 {.key = "wave/4", .value = {{"done", {"m-4"}}}},
+                 {.key = "host/m-1", .value = value}}};
+    ContextFixture fixture;
+    Context context = fixture.MakeContext();
+    CHECK_NOTHROW(ApplyProgressRows(owner, rows, context));
+    CHECK(owner.host_manager.records.count("m-1") == 1);
     const std::int64_t seen_ms = owner.host_manager.waves[2].first_seen_unix_ms;
     CHECK(seen_ms >= 0);
     CHECK(seen_ms < std::int64_t{1} << 50);
