Policy: Start nothing in a data centre that is being evacuated

The rows are decoded in platform/, followed with the configuration, and age like it: the bound of both is the smaller of the two settings.

Targets there are not usable, so no path plans a start or sends a stored one; starts without confirmation are withdrawn, and one that was sent is stopped, not sent again. Long-running tasks leave within their budget while another target has room for them. Hosts there are no room for a pool. `fleet evacuations` lists the requests with their age at every entry host.

Ruled out: a set that is looked up for each start. A flag of each target costs nothing in placement. The embedded fleet takes no such request yet.

--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -65,6 +65,12 @@
               static_cast<double>(owner.start_count));
   AppendGauge(out, "ends_total", "Ends taken in by this owner.",
               static_cast<double>(owner.end_count));
+  AppendGauge(out, "evacuation_starts_withdrawn_total",
+              "Starts withdrawn because of an evacuation.",
+              static_cast<double>(owner.evacuation.withdrawn_starts));
+  AppendGauge(out, "evacuation_tasks_moved_total",
+              "Long-running tasks stopped to move them out of a data centre.",
+              static_cast<double>(owner.evacuation.moved_tasks));
   AppendGauge(out, "target_crashes_total",
               "Crashes of targets during runs, seen by this owner.",
               static_cast<double>(owner.crash_count));
@@ -124,6 +130,9 @@
   AppendGauge(out, "configuration_unreadable",
               "1 while the store has a newer version that cannot be read.",
               entry.configuration_unreadable ? 1 : 0);
+  AppendGauge(out, "data_centres_evacuated",
+              "Data centres in which operators let nothing start.",
+              static_cast<double>(entry.evacuated.size()));
   AppendGauge(out, "request_timeouts_total",
               "Requests to other systems without a response in time.",
               static_cast<double>(metrics.request_timeouts));
--- a/Source/Fleet/fleet_view.cc
+++ b/Source/Fleet/fleet_view.cc
@@ -138,6 +138,31 @@
                    {"this_host", entry.owner.has_value()}})};
 }
 
+/// Every entry host knows the evacuations; `age_ms` says as of when.
+std::vector<json> EvacuationRows(const EntryState& entry, Instant now) {
+  std::vector<json> rows;
+  const TableFollower& follower = entry.configuration_follower;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - follower.known_at);
+  for (const std::string& data_centre : entry.evacuated) {
+    json value = {{"age_ms", age.count()}};
+    if (entry.owner.has_value()) {
+      std::int64_t runs = 0;
+      std::int64_t targets = 0;
+      for (const auto& [id, target] : entry.owner->targets) {
+        if (target.entry.data_centre != data_centre) continue;
+        ++targets;
+        runs += static_cast<std::int64_t>(target.runs.size());
+      }
+      value["targets"] = targets;
+      value["runs"] = runs;
+    }
+    rows.push_back(MakeRow("evacuation", data_centre, follower.revision,
+                           std::move(value)));
+  }
+  return rows;
+}
+
 HttpResponse MakeRowsResponse(std::vector<json> rows) {
   const std::size_t left_out =
       rows.size() > kMaxRows ? rows.size() - kMaxRows : 0;
@@ -150,10 +175,13 @@
 HttpResponse MakeFleetResponse(const EntryState& entry, std::string_view kind,
                                Instant now) {
   if (kind == "owners") return MakeRowsResponse(OwnerRows(entry));
+  if (kind == "evacuations") {
+    return MakeRowsResponse(EvacuationRows(entry, now));
+  }
   if (kind != "jobs" && kind != "targets" && kind != "relays" &&
       kind != "waves") {
-    return ErrorResponse(404,
-                         "expected jobs, targets, owners, relays or waves");
+    return ErrorResponse(
+        404, "expected jobs, targets, owners, relays, waves or evacuations");
   }
   if (!entry.owner.has_value()) {
     return ErrorResponse(
--- a/Source/Model/fleet.h
+++ b/Source/Model/fleet.h
@@ -147,6 +147,15 @@
   friend bool operator==(const Wave&, const Wave&) = default;
 };
 
+/// An operator's request to start nothing on the targets of a data centre, or
+/// its withdrawal.
+struct Evacuation {
+  std::string data_centre;
+  bool requested = true;
+
+  friend bool operator==(const Evacuation&, const Evacuation&) = default;
+};
+
 }  // namespace hyssopbarrow::fleet
 
 #endif  // HYSSOPBARROW_MODEL_FLEET_H_
--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Policy/entry_internal.h"
+#include "Policy/evacuation.h"
 #include "Policy/relays.h"
 #include "Policy/row_sizes.h"
 
@@ -231,7 +232,10 @@
   if (const TableUpdate configuration =
           HandleTableReply(entry.configuration_follower, id, reply, context);
       configuration.matched) {
-    if (configuration.has_rows) ApplyConfiguration(entry, reply, context);
+    if (configuration.has_rows) {
+      ApplyEvacuations(entry, reply, configuration, context);
+      ApplyConfiguration(entry, reply, context);
+    }
   } else if (const TableUpdate ownership =
                  HandleTableReply(entry.ownership_follower, id, reply, context);
              ownership.matched) {
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -142,6 +142,9 @@
   bool configuration_unreadable = false;
   bool configuration_outdated = false;  ///< As last logged.
   std::map<std::int64_t, Wave> waves;
+  EvacuatedDataCentres evacuated;
+  /// Requests in the pages received so far of a read of the whole table.
+  EvacuatedDataCentres evacuations_read;
   /// Its `watch_wait` follows from TimingSettings::max_configuration_age.
   TableFollower configuration_follower{.table = Table::kConfiguration,
                                        .confirms_changes = true};
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -73,6 +73,7 @@
   /// There is a newer configuration, of which nothing could be read.
   bool configuration_unreadable = false;
   std::vector<Wave> waves;
+  std::vector<Evacuation> evacuations;
   std::vector<Target> targets;
   std::vector<std::string> removed_targets;  ///< Includes unreadable entries.
   std::int64_t revision = 0;                 ///< Newest revision of the store.
--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -167,6 +167,7 @@
   for (auto& [name, host] : host_manager_.hosts) FinishOperation(host);
   IndexHosts();
   for (auto& [number, wave] : host_manager_.waves) PlanWave(number, wave);
+  EmptyEvacuatedTargets();
   PlanMoves();
   for (auto& [name, host] : host_manager_.hosts) AdvanceOperation(host);
   for (auto& [number, wave] : host_manager_.waves) WriteWaveRow(number, wave);
--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -77,6 +77,7 @@
     demand.required_hosts = std::max(1.0, for_demand + headroom_hosts);
   }
   for (const auto& [name, host] : host_manager_.hosts) {
+    if (IsEvacuated(host)) continue;
     if (host.operation == HostOperation::kMove) {
       if (demands.count(host.destination)) {
         ++demands[host.destination].available_hosts;
@@ -110,10 +111,10 @@
 EmptyHosts HostPlanner::FindEmptyHosts() {
   EmptyHosts empty;
   for (auto& [name, host] : host_manager_.hosts) {
-    const bool movable = host.operation == HostOperation::kNone &&
-                         host.host.state == HostState::kUp &&
-                         !WaitsForMaintenance(host) &&
-                         IsFreeOfEarlierRequests(owner_, name, now());
+    const bool movable =
+        host.operation == HostOperation::kNone && !IsEvacuated(host) &&
+        host.host.state == HostState::kUp && !WaitsForMaintenance(host) &&
+        IsFreeOfEarlierRequests(owner_, name, now());
     if (!movable) continue;
     const TargetView* target = FindTargetOn(host);
     const bool idle = target == nullptr || !target->listed
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -54,6 +54,12 @@
   /// Stops long-running tasks on a reserved target, as many as their steps
   /// allow to be unavailable.
   void EvictTasks(TargetView& target);
+  /// Stops long-running tasks in evacuated data centres in the same way.
+  void EmptyEvacuatedTargets();
+  /// True if the host's data centre is being evacuated.
+  bool IsEvacuated(const HostView& host) const {
+    return owner_.evacuation.data_centres.contains(host.host.data_centre);
+  }
   /// True if a request for the host cannot interleave with one of an earlier
   /// owner, and the store holds that it may be on its way.
   bool MaySendHostRequest(const HostView& host);
--- a/Source/Policy/maintenance_waves.cc
+++ b/Source/Policy/maintenance_waves.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Model/text.h"
+#include "Policy/evacuation.h"
 #include "Policy/host_planner.h"
 #include "Policy/host_records.h"
 #include "Policy/owner_runs.h"
@@ -69,6 +70,10 @@
     const bool first_of_step =
         visited_steps.insert({name.job, name.step}).second;
     if (!step.long_running || !first_of_step) continue;
+    const bool may_wait = target.evacuated && !target.reserved;
+    if (may_wait && !HasRoomElsewhere(owner_, target, name, step, now())) {
+      continue;
+    }
     const std::vector<Task>& tasks =
         job.open_occurrences.at(name.occurrence)
             .steps[static_cast<std::size_t>(name.step)]
@@ -84,8 +89,21 @@
       evicted.push_back(name);
     }
   }
+  if (target.evacuated) {
+    owner_.evacuation.moved_tasks += static_cast<std::int64_t>(evicted.size());
+  }
   for (const TaskName& name : evicted) {
-    StopRun(owner_, target, name, "its host is being emptied", context_);
+    StopRun(owner_, target, name,
+            target.reserved ? "its host is being emptied"
+                            : "its data centre is being evacuated",
+            context_);
+  }
+}
+
+void HostPlanner::EmptyEvacuatedTargets() {
+  if (owner_.evacuation.data_centres.empty()) return;
+  for (auto& [id, target] : owner_.targets) {
+    if (target.evacuated && !target.runs.empty()) EvictTasks(target);
   }
 }
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -379,6 +379,8 @@
     if (!owner.lost_runs.empty()) CountLostRuns(owner, entry, context);
     target.entry = entry;
     target.listed = true;
+    target.evacuated =
+        owner.evacuation.data_centres.contains(entry.data_centre);
     if (inserted || replaced) {
       AddToNextRound(owner, target);
       continue;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -49,6 +50,16 @@
                          const TimingSettings&) = default;
 };
 
+/// Data centres in which nothing may be started.
+using EvacuatedDataCentres = std::set<std::string, std::less<>>;
+
+/// What the owner knows and does about evacuations.
+struct EvacuationState {
+  EvacuatedDataCentres data_centres;
+  std::int64_t withdrawn_starts = 0;  ///< Starts that were not confirmed.
+  std::int64_t moved_tasks = 0;       ///< Long-running tasks stopped to move.
+};
+
 /// What a decision reads and fills besides the state that it changes.
 struct Context {
   EventTime time;
@@ -151,6 +162,7 @@
   Instant next_throttle{};            ///< Earliest next speed change.
   /// A start waits because too many requests are pending.
   bool start_deferred = false;
+  bool evacuated = false;      ///< Its data centre is being evacuated.
   bool reserved = false;       ///< Being emptied for a move or maintenance.
   std::string relay;           ///< Node of its relay; empty if there is none.
   bool in_next_round = false;  ///< In Owner::next_round_targets.
@@ -372,6 +384,7 @@
   std::int64_t crash_count = 0;  ///< Crashes of targets with runs.
   std::map<std::string, Resources> team_used;
   RunTimes run_times;
+  EvacuationState evacuation;
   std::unordered_map<std::int64_t, PendingTargetRequest>
       pending_target_requests;
   std::map<std::string, Approval> approvals;  ///< By step.
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -36,7 +36,8 @@
                      Run& run, Context& context) {
   if (run.request_pending) return;
   run.retry_at = context.time.now + kRunRequestRetryDelay;
-  const bool start_due = run.phase == RunPhase::kStarting && !run.confirmed_at;
+  const bool start_due = run.phase == RunPhase::kStarting &&
+                         !run.confirmed_at && !target.evacuated;
   if (run.phase == RunPhase::kStopping && !run.stop_confirmed_at.has_value()) {
     run.request_pending = true;
     SendTargetRequest(
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -112,6 +112,7 @@
   for (const auto& [number, wave] : entry.waves) {
     ApplyWaves(owner, {wave}, context);
   }
+  owner.evacuation.data_centres = entry.evacuated;
   entry.owner = std::move(owner);
   const auto restart = [](TableFollower& follower) {
     follower = TableFollower{.table = follower.table,
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -91,19 +91,6 @@
                                      : target.entry.labels.back();
 }
 
-std::int64_t CountRunsOfStep(const TargetView& target, const TaskName& first) {
-  auto it =
-      target.runs.lower_bound({first.job, first.occurrence, first.step, 0});
-  std::int64_t n = 0;
-  for (;
-       it != target.runs.end() && it->first.job == first.job &&
-       it->first.occurrence == first.occurrence && it->first.step == first.step;
-       ++it) {
-    ++n;
-  }
-  return n;
-}
-
 class Placer {
  public:
   Placer(Owner& owner, Context& context) : owner_(owner), context_(context) {}
@@ -505,6 +492,19 @@
 
 }  // namespace
 
+std::int64_t CountRunsOfStep(const TargetView& target, const TaskName& first) {
+  auto it =
+      target.runs.lower_bound({first.job, first.occurrence, first.step, 0});
+  std::int64_t n = 0;
+  for (;
+       it != target.runs.end() && it->first.job == first.job &&
+       it->first.occurrence == first.occurrence && it->first.step == first.step;
+       ++it) {
+    ++n;
+  }
+  return n;
+}
+
 std::string_view PoolOf(const Job& job, const Context& context) {
   if (context.configuration != nullptr) {
     const Queue* queue = FindQueue(*context.configuration, job.record.queue);
@@ -532,7 +532,7 @@
 
 bool IsUsable(const TargetView& target, Instant now) {
   return target.listed && !target.retired && target.synced &&
-         !target.entry.draining && !target.reserved &&
+         !target.entry.draining && !target.reserved && !target.evacuated &&
          target.unanswered_polls == 0 && target.avoid_until <= now &&
          !target.instance_doubted;
 }
--- a/Source/Policy/placement.h
+++ b/Source/Policy/placement.h
@@ -20,6 +20,9 @@
 /// True if tasks may be started on `target`.
 bool IsUsable(const TargetView& target, Instant now);
 
+/// Number of runs on `target` of the step of `first`, which names its task 0.
+std::int64_t CountRunsOfStep(const TargetView& target, const TaskName& first);
+
 /// Assigns runnable tasks to targets with free resources, in order of rank.
 void PlaceTasks(Owner& owner, Context& context);
 
--- a/Source/Policy/table_follower.cc
+++ b/Source/Policy/table_follower.cc
@@ -11,7 +11,8 @@
   return !reply.last_key.empty() || !reply.rows.empty() ||
          !reply.targets.empty() || !reply.removed_targets.empty() ||
          reply.configuration.has_value() || reply.configuration_unreadable ||
-         !reply.waves.empty() || !reply.errors.empty();
+         !reply.waves.empty() || !reply.evacuations.empty() ||
+         !reply.errors.empty();
 }
 
 /// Earliest time at which the store can have composed the reply to a watch. A
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -220,6 +220,24 @@
   if (shrinks) target.capacity_binds_from_us = now_us_ + kCapacityGraceUs;
 }
 
+void FleetSimulation::SetEvacuated(const std::string& data_centre,
+                                   bool evacuated) {
+  std::erase(withdrawn_evacuations_, data_centre);
+  if (evacuated) {
+    evacuated_.insert(data_centre);
+  } else {
+    evacuated_.erase(data_centre);
+    withdrawn_evacuations_.push_back(data_centre);
+  }
+  waves_revision_ = std::max(waves_revision_, store_.revision()) + 1;
+}
+
+void FleetSimulation::SetDataCentre(int n, const std::string& data_centre) {
+  SimulatedTarget& target = targets_[ToIndex(n)];
+  target.tasks.entry.data_centre = data_centre;
+  target.row = target.tasks.entry;
+}
+
 void FleetSimulation::AddWave(Wave wave) {
   waves_[wave.number] = std::move(wave);
   waves_revision_ = std::max(waves_revision_, store_.revision()) + 1;
@@ -371,6 +389,7 @@
   if (request.table == Table::kConfiguration) {
     out.configuration = configuration_;
     for (const auto& [number, wave] : waves_) out.waves.push_back(wave);
+    for (const std::string& it : evacuated_) out.evacuations.push_back({it});
     return out;
   }
   if (request.table == Table::kTargets) {
@@ -387,6 +406,9 @@
     StoreRows out{.status = StoreStatus::kOk};
     const bool changed = request.revision < waves_revision_;
     if (changed) out = ReadTable({.table = request.table});
+    for (const std::string& it : withdrawn_evacuations_) {
+      if (changed) out.evacuations.push_back({it, false});
+    }
     out.revision = std::max(store_.revision(), waves_revision_);
     return out;
   }
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -99,6 +99,10 @@
   void SetCapacity(int n, Resources capacity);
   void SetStoreDown(bool down) { store_down_ = down; }
   void AddWave(Wave wave);
+  /// Requests the evacuation of a data centre, or withdraws the request.
+  void SetEvacuated(const std::string& data_centre, bool evacuated);
+  /// Moves a target, before the first Run, to another data centre.
+  void SetDataCentre(int n, const std::string& data_centre);
 
   /// Readiness as reported to the load balancer.
   bool IsReady(int n) const { return IsServing(entry(n), CurrentTime().now); }
@@ -233,6 +237,8 @@
   bool store_down_ = false;
   Configuration configuration_;
   std::map<std::int64_t, Wave> waves_;
+  std::set<std::string> evacuated_;
+  std::vector<std::string> withdrawn_evacuations_;
   std::int64_t waves_revision_ = 0;  ///< Of the last change of `waves_`.
   std::map<std::string, JobSpec> specs_;
   std::set<std::string> accepted_jobs_;
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -530,5 +530,22 @@
   CHECK(PercentEncode("x~/\x01 ") == "x%7E%2F%01%20");
 }
 
+// Guards against a request that is passed over because of its value.
+TEST_CASE("a row of an evacuation counts whatever its value is") {
+  const std::string rows =
+      R"({"Key":"evacuate/namche","Value":"e30=","Ver":4},)"
+      R"({"Key":"evacuate/lukla","Value":7,"Ver":5},)"
+      R"({"Key":"evacuate/tengboche","Deleted":true,"Ver":6})";
+  const fleet::StoreRows out =
+      DecodeRows(fleet::Table::kConfiguration,
+                 {.status = 200,
+                  .headers = {},
+                  .body = R"({"Ver":6,"rows":[)" + rows + "]}"},
+                 500);
+  const std::vector<fleet::Evacuation> expected = {
+      {"namche", true}, {"lukla", true}, {"tengboche", false}};
+  CHECK(out.evacuations == expected);
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::platform
