Http: Bound what all callers of a process hold together

Cause: a body of 256 KB and 1,500 connections were allowed whatever the machine has, 393 MB on machines of 160 MB, and nothing bounded the sum. A server now knows what each connection has sent and is not answered. Above its limit it closes those that hold the most, the slowest first; requests that take too long, connections without progress and, near the limit on connections, the oldest incomplete ones are closed; bodies whose answer is due may use half, and further ones get 503 before they are decoded. The kernel's buffer of a connection is 32 KB. An entry host derives its limits from MemoryMb and MaxFds, a quarter of the memory each for input, connections and open calls. A call refused here has written nothing.

Ruled out: reserving a declared length before the body is read. h2o 2.2 tells of a request only once its body is whole, and reading the socket ahead of it would replace its parser.

--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -177,6 +177,7 @@
 void Daemon::ScheduleTick() {
   loop_.CallAt(loop_.Now() + kTickInterval, [this] {
     ProcessEvent(Tick{});
+    caller_server_.EnforceLimits();
     UpdatePeers();
     LogRejectedSnapshot();
     ScheduleTick();
--- /dev/null
+++ b/Source/Fleet/caller_limits.cc
@@ -0,0 +1,55 @@
+#include "Fleet/caller_limits.h"
+
+#include <algorithm>
+
+namespace hyssopbarrow::fleet {
+namespace {
+
+/// A job has up to 100 steps and a payload of 4000 bytes.
+constexpr std::size_t kMaxBodyBytes = 256UL << 10;
+constexpr std::int64_t kRequestTimeoutMs = 3000;
+constexpr std::int64_t kMaxConnections = 1500;
+constexpr std::int64_t kMinConnections = 64;
+/// Of the memory of the machine: for what callers have sent, for connections,
+/// and for calls without an answer. The rest is for the owner and its tables.
+constexpr std::int64_t kInputDivisor = 4;
+constexpr std::int64_t kConnectionsDivisor = 4;
+constexpr std::int64_t kCallsDivisor = 4;
+/// Of a connection, mostly what the kernel holds for it.
+constexpr std::int64_t kConnectionBytes = 48 << 10;
+/// Of a call: its job, decoded and as sent to the store.
+constexpr std::int64_t kCallBytes = 64 << 10;
+/// A body that does not fit would refuse even a single caller; its buffer grows
+/// by doubling, and as much may wait for its answer.
+constexpr std::int64_t kMinInputBytes = 8 * (256 << 10);
+/// Descriptors for the store, targets, other entry hosts and the listeners.
+constexpr std::int64_t kReservedDescriptors = 1024;
+/// An open call has a connection of its caller and one to the store or owner.
+constexpr std::int64_t kDescriptorsPerCaller = 2;
+constexpr std::int64_t kDefaultMemoryMb = 256;
+
+}  // namespace
+
+CallerLimits MakeCallerLimits(std::int64_t memory_mb,
+                              std::int64_t max_descriptors) {
+  const std::int64_t memory = (memory_mb > 0 ? memory_mb : kDefaultMemoryMb)
+                              << 20;
+  CallerLimits limits;
+  limits.http.max_body_bytes = kMaxBodyBytes;
+  limits.http.request_timeout_ms = kRequestTimeoutMs;
+  limits.http.max_input_bytes = static_cast<std::size_t>(
+      std::max(memory / kInputDivisor, kMinInputBytes));
+  limits.http.max_connections =
+      std::clamp(memory / kConnectionsDivisor / kConnectionBytes,
+                 kMinConnections, kMaxConnections);
+  if (max_descriptors > 0) {
+    limits.http.max_connections = std::clamp(
+        (max_descriptors - kReservedDescriptors) / kDescriptorsPerCaller,
+        kMinConnections, limits.http.max_connections);
+  }
+  limits.max_open_calls = std::min(limits.http.max_connections,
+                                   memory / kCallsDivisor / kCallBytes);
+  return limits;
+}
+
+}  // namespace hyssopbarrow::fleet
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -21,23 +21,13 @@
 constexpr std::string_view kFleetPath = "/v1/fleet/";
 /// After this timeout a call reads the store instead, or queries again.
 constexpr Duration kOwnerQueryTimeout = milliseconds(350);
-/// Limits of callers' requests. A job has up to 100 steps and a payload of 4000
-/// bytes.
-constexpr std::size_t kMaxCallerBodyBytes = 256UL << 10;
-constexpr std::int64_t kCallerRequestTimeoutMs = 3000;
-constexpr std::int64_t kMaxCallerConnections = 1500;
+constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
 /// A stopping host exits once no caller has been active for this long.
 constexpr Duration kStopAfterIdle = milliseconds(400);
 /// The load balancer takes up to 2 s to send new connections elsewhere.
 constexpr Duration kMinStopDelay = milliseconds(2600);
 constexpr Duration kMaxLoopWait = milliseconds(100);
 
-HttpServerLimits CallerLimits() {
-  return {.max_body_bytes = kMaxCallerBodyBytes,
-          .request_timeout_ms = kCallerRequestTimeoutMs,
-          .max_connections = kMaxCallerConnections};
-}
-
 std::string SystemLabel(const TargetRequest& request) {
   switch (request.kind) {
     case TargetRequestKind::kPoll:
@@ -125,8 +115,10 @@
       peer_client_(
           loop, HttpClientLimits{},
           [this](const ExchangeTimeout& timeout) { RecordTimeout(timeout); }),
+      caller_limits_(
+          MakeCallerLimits(settings.memory_mb, settings.max_descriptors)),
       caller_server_(
-          loop, CallerLimits(),
+          loop, caller_limits_.http,
           [this](const HttpRequest& request, const Responder& responder) {
             ServeCaller(request, responder);
           }),
@@ -222,6 +214,38 @@
 void EntryHost::RunOnce() {
   const Duration wait = Tick();
   loop_.RunOnce(SteadyNow() + wait);
+  LimitCallers();
+}
+
+void EntryHost::LimitCallers() {
+  caller_server_.EnforceLimits();
+  readiness_server_.EnforceLimits();
+  peer_server_.EnforceLimits();
+  metrics_server_.EnforceLimits();
+  const HttpServerCounts& counts = caller_server_.counts();
+  metrics_.callers = counts;
+  metrics_.caller_bytes = caller_server_.InputBytes();
+  metrics_.caller_connections = caller_server_.OpenConnections();
+  metrics_.refused_calls = refused_calls_;
+  const std::int64_t limited =
+      counts.closed_for_memory + counts.closed_as_slow +
+      counts.closed_for_others + counts.refused_connections +
+      counts.refused_requests + refused_calls_;
+  if (limited == limited_when_logged_) return;
+  const Instant now = Now().now;
+  if (now < next_limit_log_) return;
+  next_limit_log_ = now + kLimitLogInterval;
+  limited_when_logged_ = limited;
+  Log(Severity::kWarn, "callers_limited",
+      {{"closed_for_memory", std::to_string(counts.closed_for_memory)},
+       {"closed_as_slow", std::to_string(counts.closed_as_slow)},
+       {"closed_for_others", std::to_string(counts.closed_for_others)},
+       {"refused_connections", std::to_string(counts.refused_connections)},
+       {"refused_requests", std::to_string(counts.refused_requests)},
+       {"refused_calls", std::to_string(refused_calls_)},
+       {"connections", std::to_string(caller_server_.OpenConnections())},
+       {"bytes", std::to_string(caller_server_.InputBytes())},
+       {"calls_open", std::to_string(waiting_callers_.size())}});
 }
 
 void EntryHost::RequestStop() {
@@ -273,6 +297,15 @@
 void EntryHost::ServeCaller(const HttpRequest& request,
                             const Responder& responder) {
   const EventTime time = Now();
+  if (static_cast<std::int64_t>(waiting_callers_.size()) >=
+      caller_limits_.max_open_calls) {
+    ++refused_calls_;
+    responder.Send({.status = 503,
+                    .headers = {{"retry-after", "1"}},
+                    .body = {},
+                    .close_connection = true});
+    return;
+  }
   Call call = codec_.Decode(request);
   call.number = next_call_number_++;
   const std::int64_t number = call.number;
--- a/Source/Fleet/entry_host.h
+++ b/Source/Fleet/entry_host.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "Fleet/backend.h"
+#include "Fleet/caller_limits.h"
 #include "Fleet/decision_log.h"
 #include "Fleet/fleet_metrics.h"
 #include "Fleet/relay_client.h"
@@ -34,6 +35,9 @@
   /// At which the owner sends target requests for this host to carry.
   Address relay;
   Address metrics;
+  /// Memory and descriptors that the process may use; 0 if not known.
+  std::int64_t memory_mb = 0;
+  std::int64_t max_descriptors = 0;
   Duration stop_timeout{};  ///< From the request to stop to the process's end.
   TimingSettings timing;
 
@@ -88,6 +92,8 @@
   void Log(Severity severity, std::string event,
            std::vector<std::pair<std::string, std::string>> fields);
   void ServeCaller(const HttpRequest& request, const Responder& responder);
+  /// Keeps callers within their part of memory and descriptors.
+  void LimitCallers();
   void ServePeer(const HttpRequest& request, const Responder& responder);
   /// Passes an event to the decision core and carries out its effects.
   void HandleEvent(
@@ -109,6 +115,7 @@
   FleetMetrics metrics_;
   EntryState entry_;
   HttpClient peer_client_;
+  CallerLimits caller_limits_;
   HttpServer caller_server_;
   HttpServer readiness_server_;
   HttpServer peer_server_;
@@ -118,6 +125,9 @@
   std::map<std::int64_t, WaitingCaller> waiting_callers_;  ///< By call number.
   std::int64_t next_call_number_ = 1;
   Instant next_tick_{};
+  std::int64_t refused_calls_ = 0;  ///< Too many calls were open.
+  Instant next_limit_log_{};
+  std::int64_t limited_when_logged_ = 0;
   std::optional<Instant> stop_deadline_;
   Instant idle_since_{};  ///< Last call or answer of a stopping host, or the
   ///< end of kMinStopDelay if that is later.
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -38,6 +38,29 @@
   return std::chrono::duration<double>(now - earlier).count();
 }
 
+/// What the limits on callers have done.
+void AppendCallerLimits(std::string& out, const FleetMetrics& metrics) {
+  AppendHeading(out, "callers_limited_total", "counter",
+                "Connections closed and requests refused, by cause.");
+  const HttpServerCounts& counts = metrics.callers;
+  const std::pair<std::string_view, std::int64_t> causes[] = {
+      {"closed_for_memory", counts.closed_for_memory},
+      {"closed_as_slow", counts.closed_as_slow},
+      {"closed_as_idle", counts.closed_as_idle},
+      {"closed_for_others", counts.closed_for_others},
+      {"refused_connections", counts.refused_connections},
+      {"refused_requests", counts.refused_requests},
+      {"refused_calls", metrics.refused_calls}};
+  for (const auto& [cause, count] : causes) {
+    StrAppend(out, "hyssopbarrow_callers_limited_total{cause=\"", cause, "\"} ",
+              count, "\n");
+  }
+  AppendGauge(out, "caller_bytes", "Sent by callers and not answered.",
+              static_cast<double>(metrics.caller_bytes));
+  AppendGauge(out, "caller_connections", "Open connections of callers.",
+              static_cast<double>(metrics.caller_connections));
+}
+
 void AppendOwnerGauges(std::string& out, const Owner& owner, Instant now) {
   std::int64_t runs = 0;
   std::int64_t unresponsive = 0;
@@ -145,6 +168,7 @@
               static_cast<double>(metrics.log_lines));
   AppendGauge(out, "log_left_out", "Lines left out by the log's bounds.",
               static_cast<double>(metrics.log_lines_dropped));
+  AppendCallerLimits(out, metrics);
   AppendGauge(out, "relay_links", "Relays that this host sends requests to.",
               static_cast<double>(metrics.relay_links));
   AppendGauge(out, "relayed_requests_total",
--- a/Source/Fleet/fleet_metrics.h
+++ b/Source/Fleet/fleet_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "Http/http_server.h"
 #include "Metrics/exposition.h"
 #include "Model/time.h"
 #include "Policy/entry.h"
@@ -27,6 +28,10 @@
   std::int64_t log_lines_dropped = 0;
   std::int64_t relay_links = 0;
   std::int64_t relayed_requests = 0;
+  HttpServerCounts callers;  ///< Of the listener for callers.
+  std::size_t caller_bytes = 0;
+  std::int64_t caller_connections = 0;
+  std::int64_t refused_calls = 0;  ///< Because too many calls were open.
 };
 
 /// Counts an answered call; `latency` is the time from its arrival.
--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -69,6 +69,24 @@
   std::size_t max_body_bytes = 4UL << 20;
   std::int64_t request_timeout_ms = 10'000;  ///< To receive a whole request.
   std::int64_t max_connections = 4096;
+  /// For what all connections have sent and is not answered.
+  std::size_t max_input_bytes = 64UL << 20;
+  /// Without progress, a connection on which no answer is due is closed.
+  std::int64_t idle_timeout_ms = 15'000;
+};
+
+/// Connections that a server has closed, and requests that it has refused,
+/// because of its limits.
+struct HttpServerCounts {
+  std::int64_t closed_for_memory = 0;    ///< They held the most.
+  std::int64_t closed_as_slow = 0;       ///< Their request took too long.
+  std::int64_t closed_as_idle = 0;       ///< No progress.
+  std::int64_t closed_for_others = 0;    ///< Too many were open.
+  std::int64_t refused_connections = 0;  ///< As above; closed at once.
+  std::int64_t refused_requests = 0;     ///< Answered with 503.
+
+  friend bool operator==(const HttpServerCounts&,
+                         const HttpServerCounts&) = default;
 };
 
 /// HTTP/1.1 server on one listening socket.
@@ -95,6 +113,14 @@
   /// Number of open connections.
   std::int64_t OpenConnections() const;
 
+  /// Closes connections that exceed the limits on time and memory. To be called
+  /// after each iteration of the loop; checks at most once in 10 ms.
+  void EnforceLimits();
+
+  const HttpServerCounts& counts() const;
+  /// Bytes that connections had sent, without an answer, at the last check.
+  std::size_t InputBytes() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
