Policy: Mend what the review of host requests and evacuations found

By reading, each with the sequence that shows it; new tests for the first four. - A target that was retired and is listed again lost the mark of its evacuation. - An unreadable record of host requests was dropped in platform/ and counted as none. - A wave could take out a host beside one that a request of an earlier owner may still take out. - While commits were limited after a refused one, records were left out although nothing else was to be stored, and the loop ran without a wait.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -167,7 +167,7 @@
   for (auto& [name, host] : host_manager_.hosts) FinishOperation(host);
   IndexHosts();
   for (auto& [number, wave] : host_manager_.waves) PlanWave(number, wave);
-  EmptyEvacuatedTargets();
+  LeaveEvacuatedDataCentres();
   PlanMoves();
   for (auto& [name, host] : host_manager_.hosts) AdvanceOperation(host);
   for (auto& [number, wave] : host_manager_.waves) WriteWaveRow(number, wave);
@@ -215,10 +215,9 @@
   if (TargetView* target = FindTargetOn(host)) target->reserved = true;
 }
 
-bool HostPlanner::MaySendHostRequest(const HostView& host) {
+bool HostPlanner::MaySendHostRequest(const HostView& host) const {
   return now() < owner_.host_requests_allowed_until &&
-         IsFreeOfEarlierRequests(owner_, host.host.name, now()) &&
-         EnsureRequestRecorded(owner_, host.host.name);
+         IsFreeOfEarlierRequests(owner_, host.host.name, now());
 }
 
 double HostPlanner::CpuUtilization(const HostView& host) {
@@ -258,6 +257,7 @@
   const bool moved = host.operation == HostOperation::kMove &&
                      host.request_sent && host.host.pool == host.destination;
   if (moved || !MaySendHostRequest(host)) return;
+  if (!EnsureRequestRecorded(owner_, host.host.name)) return;
   host.pending_request = context_.next_id++;
   host_manager_.host_by_request[host.pending_request] = host.host.name;
   host.request_sent = true;
@@ -328,8 +328,12 @@
                      Context& context) {
   const auto node = owner.host_manager.host_by_request.extract(id);
   if (node.empty()) return false;
-  RecordHostReply(owner, node.mapped(), result, context);
   auto it = owner.host_manager.hosts.find(node.mapped());
+  // The host may have left the list and come back since.
+  const bool outdated =
+      it != owner.host_manager.hosts.end() && it->second.pending_request != id;
+  if (outdated) return true;
+  RecordHostReply(owner, node.mapped(), result, context);
   if (it != owner.host_manager.hosts.end()) {
     const std::string& name = it->first;
     HostView& host = it->second;
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -53,18 +53,21 @@
   bool MayEvictTasks() const;
   /// Stops long-running tasks on a reserved target, as many as their steps
   /// allow to be unavailable.
-  void EvictTasks(TargetView& target);
-  /// Stops long-running tasks in evacuated data centres in the same way.
-  void EmptyEvacuatedTargets();
+  /// Returns their number.
+  std::int64_t EvictTasks(TargetView& target);
+  /// Stops long-running tasks in evacuated data centres in the same way, one of
+  /// a pool in a round, and gives up moves of hosts there.
+  void LeaveEvacuatedDataCentres();
   /// True if the host's data centre is being evacuated.
   bool IsEvacuated(const HostView& host) const {
     return owner_.evacuation.data_centres.contains(host.host.data_centre);
   }
   /// True if a request for the host cannot interleave with one of an earlier
-  /// owner, and the store holds that it may be on its way.
-  bool MaySendHostRequest(const HostView& host);
-  /// Counts hosts that this wave's requests have taken out of service and
-  /// hosts that are in maintenance for another reason.
+  /// owner.
+  bool MaySendHostRequest(const HostView& host) const;
+  /// Counts hosts that this wave's requests have taken out of service, hosts
+  /// that are in maintenance for another reason, and hosts of the wave that a
+  /// request of an earlier owner may still take out.
   std::int64_t CountHostsInMaintenance(std::int64_t wave) const;
   /// Reserves hosts for a wave, the least used first, and completes a wave
   /// whose hosts are all done.
--- a/Source/Policy/host_records.cc
+++ b/Source/Policy/host_records.cc
@@ -28,7 +28,7 @@
   record.open = !readable || row[kOpenField].get<bool>();
   record.stored = true;
   // The earlier owner has sent nothing since this one took over.
-  record.matters_until =
+  record.keep_until =
       owner.owned_since +
       (record.open ? kMaxHostRequestDelay : context.timing.host_request_gap);
   Log(context, Severity::kInfo, "host_record_restored",
@@ -44,7 +44,7 @@
   if (now < manager.unrecorded_requests_end) return false;
   auto it = manager.records.find(host);
   return it == manager.records.end() || it->second.epoch == owner.epoch ||
-         now >= it->second.matters_until;
+         now >= it->second.keep_until;
 }
 
 bool EnsureRequestRecorded(Owner& owner, const std::string& host) {
@@ -60,7 +60,7 @@
 void RecordHostRequestSent(Owner& owner, const std::string& host, Instant now) {
   HostRecord& record = owner.host_manager.records[host];
   record.sent_at = now;
-  record.matters_until = now + kMaxHostRequestDelay;
+  record.keep_until = now + kMaxHostRequestDelay;
 }
 
 void RecordHostReply(Owner& owner, const std::string& host,
@@ -72,7 +72,7 @@
   if (result == HostRequestResult::kNoReply) {
     record.unanswered_until = record.sent_at + kMaxHostRequestDelay;
   }
-  record.matters_until =
+  record.keep_until =
       std::max(record.unanswered_until,
                record.sent_at + context.timing.host_request_gap);
   const bool open = record.unanswered_until > context.time.now;
@@ -90,7 +90,7 @@
     const bool in_use = host != manager.hosts.end() &&
                         record.epoch == owner.epoch &&
                         host->second.operation != HostOperation::kNone;
-    if (in_use || record.matters_until > now) {
+    if (in_use || record.keep_until > now) {
       ++it;
       continue;
     }
--- a/Source/Policy/maintenance_waves.cc
+++ b/Source/Policy/maintenance_waves.cc
@@ -56,8 +56,8 @@
                                       kMaxRequestTransitTime);
 }
 
-void HostPlanner::EvictTasks(TargetView& target) {
-  if (!MayEvictTasks()) return;
+std::int64_t HostPlanner::EvictTasks(TargetView& target) {
+  if (!MayEvictTasks()) return 0;
   std::vector<TaskName> evicted;
   // At most one task of a step per round.
   std::set<std::pair<std::string, std::int64_t>> visited_steps;
@@ -70,10 +70,6 @@
     const bool first_of_step =
         visited_steps.insert({name.job, name.step}).second;
     if (!step.long_running || !first_of_step) continue;
-    const bool may_wait = target.evacuated && !target.reserved;
-    if (may_wait && !HasRoomElsewhere(owner_, target, name, step, now())) {
-      continue;
-    }
     const std::vector<Task>& tasks =
         job.open_occurrences.at(name.occurrence)
             .steps[static_cast<std::size_t>(name.step)]
@@ -85,9 +81,18 @@
       const TaskName other{name.job, name.occurrence, name.step, index};
       unavailable += IsTaskUnavailable(other, tasks[n]) ? 1 : 0;
     }
-    if (unavailable < std::max<std::int64_t>(1, step.max_unavailable_tasks)) {
-      evicted.push_back(name);
+    // A host that has to be emptied may take a task of any step.
+    const bool may_wait = target.evacuated && !target.reserved;
+    const std::int64_t allowed =
+        may_wait ? step.max_unavailable_tasks
+                 : std::max<std::int64_t>(1, step.max_unavailable_tasks);
+    if (unavailable >= allowed) continue;
+    if (may_wait && !HasRoomElsewhere(owner_, target, name, step, now())) {
+      continue;
     }
+    evicted.push_back(name);
+    // The room that was found is only known to suffice for one task.
+    if (may_wait) break;
   }
   if (target.evacuated) {
     owner_.evacuation.moved_tasks += static_cast<std::int64_t>(evicted.size());
@@ -98,12 +103,23 @@
                             : "its data centre is being evacuated",
             context_);
   }
+  return static_cast<std::int64_t>(evicted.size());
 }
 
-void HostPlanner::EmptyEvacuatedTargets() {
+void HostPlanner::LeaveEvacuatedDataCentres() {
   if (owner_.evacuation.data_centres.empty()) return;
+  std::set<std::string_view> pools;
   for (auto& [id, target] : owner_.targets) {
-    if (target.evacuated && !target.runs.empty()) EvictTasks(target);
+    if (!target.evacuated || target.runs.empty() ||
+        pools.contains(target.entry.pool)) {
+      continue;
+    }
+    if (EvictTasks(target) > 0) pools.insert(target.entry.pool);
+  }
+  for (auto& [name, host] : host_manager_.hosts) {
+    const bool planned_move =
+        host.operation == HostOperation::kMove && !host.request_sent;
+    if (planned_move && IsEvacuated(host)) ReleaseHost(host);
   }
 }
 
@@ -117,6 +133,18 @@
       ++count;
     }
   }
+  const WaveView& view = host_manager_.waves.at(wave);
+  for (const std::string& name : view.wave.hosts) {
+    auto record = host_manager_.records.find(name);
+    auto host = host_manager_.hosts.find(name);
+    const bool may_go = record != host_manager_.records.end() &&
+                        record->second.open &&
+                        record->second.epoch != owner_.epoch &&
+                        record->second.keep_until > now() &&
+                        host != host_manager_.hosts.end() &&
+                        host->second.host.state == HostState::kUp;
+    if (may_go && view.done_hosts.count(name) == 0) ++count;
+  }
   return count;
 }
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -431,8 +431,11 @@
 void TrackInstance(TargetView& target, Target entry, Instant latest_lease_end,
                    Context& context) {
   const std::int64_t pending_requests = target.pending_requests;
+  const bool evacuated =
+      target.evacuated && target.entry.data_centre == entry.data_centre;
   target = TargetView{};
   target.pending_requests = pending_requests;
+  target.evacuated = evacuated;
   target.found_at = context.time.now;
   target.latest_lease_end = latest_lease_end;
   target.entry = std::move(entry);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -231,8 +231,9 @@
   Instant sent_at{};       ///< When the last request was sent.
   /// Until then a request without a reply may be carried out.
   Instant unanswered_until{};
-  /// Until then another owner must not send a request for the host.
-  Instant matters_until{};
+  /// Until then a successor needs the record to know that it must not send a
+  /// request for the host.
+  Instant keep_until{};
 };
 
 /// State of the part of the owner that moves and maintains hosts.
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -193,6 +193,8 @@
     owner.commit_waves_alone = true;
   } else if (jobs > 1) {
     owner.commit_job_limit = jobs / 2;
+  } else if (jobs == 1 && !pending.host_records.empty()) {
+    owner.commit_job_limit = 1;
   } else if (jobs == 1) {
     IsolateJob(owner, pending.jobs.begin()->first, pending.largest_key,
                pending.largest_bytes, context);
@@ -204,6 +206,14 @@
       owner.host_manager.waves[number].progress_stored = true;
     }
     owner.commit_waves_alone = false;
+  } else if (!pending.host_records.empty()) {
+    // Their hosts get no request, and are tried again when one is due.
+    RecordRefusedRow(owner, pending.largest_key, pending.largest_bytes,
+                     context);
+    for (const auto& [host, open] : pending.host_records) {
+      owner.host_manager.changed_records.erase(host);
+      owner.host_manager.records.erase(host);
+    }
   }
 }
 
@@ -228,7 +238,8 @@
   if (!alone) {
     // They are left out while the row is sought because of which the store
     // refused a commit, which is one of a job or a wave.
-    if (owner.commit_job_limit == kMaxCommitRows) {
+    if (owner.commit_job_limit == kMaxCommitRows ||
+        owner.changed_jobs.empty()) {
       AddHostRecordWrites(owner, draft);
     }
     AddChangedJobs(owner, draft, context);
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -29,7 +29,8 @@
 /// claim the ownership.
 constexpr Duration kMaxStoreReplyAge = milliseconds(520);
 constexpr const char* kEarlierRequestsField = "earlier_requests_ms";
-/// Owners of earlier versions store no records of their host requests.
+/// False while a request of an owner that stored no record may be carried out;
+/// owners of earlier versions store none.
 constexpr const char* kRecordsHostRequestsField = "records_host_requests";
 
 RowRef OwnerRowRef(std::string_view key) {
@@ -46,7 +47,7 @@
 /// clock that never steps.
 nlohmann::json LeaseRow(const EntryState& entry, std::int64_t epoch,
                         bool released, Instant earlier_requests_end,
-                        Instant now) {
+                        bool records_host_requests, Instant now) {
   const auto remaining =
       std::chrono::ceil<milliseconds>(Remaining(earlier_requests_end, now));
   return {{"holder", entry.self.holder},
@@ -54,7 +55,7 @@
           {"epoch", epoch},
           {"renewals", entry.ownership.renewals},
           {kEarlierRequestsField, remaining.count()},
-          {kRecordsHostRequestsField, true},
+          {kRecordsHostRequestsField, records_host_requests},
           {"released", released}};
 }
 
@@ -151,7 +152,10 @@
   commit.writes = {
       {OwnerRowRef(kLeaseKey),
        LeaseRow(entry, entry.owner->epoch, release,
-                entry.owner->earlier_requests_end, context.time.now)}};
+                entry.owner->earlier_requests_end,
+                entry.owner->host_manager.unrecorded_requests_end <=
+                    context.time.now,
+                context.time.now)}};
   context.out.emplace_back(std::move(commit));
 }
 
@@ -170,6 +174,7 @@
        {{"epoch", epoch}, {"holder", entry.self.holder}}},
       {OwnerRowRef(kLeaseKey),
        LeaseRow(entry, epoch, false, ownership.requests_end_before_claim,
+                epoch == 1 || ownership.records_host_requests,
                 context.time.now)},
       {{Table::kProgress, std::string(kCommitKey)},
        {{"epoch", epoch}, {"sequence", 0}}}};
--- a/Tests/Fleet/evacuation_test.cc
+++ b/Tests/Fleet/evacuation_test.cc
@@ -186,6 +186,17 @@
   CHECK_FALSE(IsUsable(fleet.target, fleet.now));
 }
 
+// Guards against a target that was retired, for example while its host was
+// maintained, and is usable once its host is listed again.
+TEST_CASE("a target that is tracked anew stays evacuated") {
+  OneTarget fleet;
+  fleet.Evacuate();
+  Context context = fleet.MakeContext();
+  TrackInstance(fleet.target, fleet.target.entry, fleet.now, context);
+  fleet.target.synced = true;
+  CHECK_FALSE(IsUsable(fleet.target, fleet.now));
+}
+
 // Guards against pools that count on hosts where nothing may start.
 TEST_CASE("hosts of an evacuated data centre are no room for a pool") {
   OneTarget fleet;
--- a/Tests/Fleet/host_records_test.cc
+++ b/Tests/Fleet/host_records_test.cc
@@ -159,6 +159,31 @@
   CHECK(fleet.LastRecord() == nlohmann::json());
 }
 
+// Guards against a wave that takes out more hosts than allowed, because a
+// request of an earlier owner is carried out after one of its successor.
+TEST_CASE("a wave counts hosts that an earlier request may take out") {
+  Successor fleet;
+  fleet.Restore({{"epoch", 1}, {"open", true}});
+  fleet.owner.targets["m-0"].runs.clear();
+  fleet.owner.targets["m-0"].used = {};
+  fleet.owner.host_manager.waves[1].wave = {.number = 1,
+                                            .hosts = {"m-0", kHostName},
+                                            .duration_ms = 60'000,
+                                            .max_unavailable = 1};
+  fleet.Run(milliseconds(14'900));
+  CHECK(fleet.CountRequests() == 0);
+  fleet.Run(milliseconds(500));
+  CHECK(fleet.CountRequests() == 1);
+}
+
+// Guards against records that wait for ever after a commit was refused.
+TEST_CASE("records are stored while the size of commits is limited") {
+  Successor fleet;
+  fleet.owner.commit_job_limit = 5;
+  fleet.Run(milliseconds(300));
+  CHECK(fleet.CountRequests() == 1);
+}
+
 // Owners of earlier versions store no records.
 TEST_CASE("requests of an owner without records are waited for") {
   Successor fleet;
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -547,5 +547,19 @@
   CHECK(out.evacuations == expected);
 }
 
+// Guards against an open host request that a new owner does not know of.
+TEST_CASE("an unreadable record of host requests is passed on") {
+  const fleet::StoreRows out = DecodeRows(
+      fleet::Table::kProgress,
+      {.status = 200,
+       .headers = {},
+       .body =
+           R"({"Ver":6,"rows":[{"Key":"host/m-1","Value":"/w==","Ver":4}]})"},
+      500);
+  REQUIRE(out.rows.size() == 1);
+  CHECK(out.rows[0].key == "host/m-1");
+  CHECK(out.errors.size() == 1);
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::platform
