Http: Close callers that do not read, and mend other findings of the review

- h2o keeps a request until its answer has been read, so a caller that does not read could never be closed, and its bytes counted for ever.
It is not waiting any more once answered.
A new crowd, `deaf`, fills the buffers for answers and must not lock out an ordinary call.
- A request that was complete when its connection was shut down was still executed.
- Connections that were shut down already counted again, so that idle ones were closed.
- The time of a request counted from the last answer.
It is now 6 s from its first byte, and 15 s without progress for idle connections.
- Buffers for answers are bounded; a connection counts with the kernel's buffers, 96 KB.
- The other listeners have limits of their own, and the operators' one of hyssopbarrowd is checked.
- Open calls count until they end, not until their callers leave.

--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -178,6 +178,7 @@
   loop_.CallAt(loop_.Now() + kTickInterval, [this] {
     ProcessEvent(Tick{});
     caller_server_.EnforceLimits();
+    operator_server_.EnforceLimits();
     UpdatePeers();
     LogRejectedSnapshot();
     ScheduleTick();
--- a/Source/Fleet/caller_limits.cc
+++ b/Source/Fleet/caller_limits.cc
@@ -7,7 +7,8 @@
 
 /// A job has up to 100 steps and a payload of 4000 bytes.
 constexpr std::size_t kMaxBodyBytes = 256UL << 10;
-constexpr std::int64_t kRequestTimeoutMs = 3000;
+/// Callers may take 3 s for the headers, and as long for the body.
+constexpr std::int64_t kRequestTimeoutMs = 6000;
 constexpr std::int64_t kMaxConnections = 1500;
 constexpr std::int64_t kMinConnections = 64;
 /// Of the memory of the machine: for what callers have sent, for connections,
@@ -15,21 +16,32 @@
 constexpr std::int64_t kInputDivisor = 4;
 constexpr std::int64_t kConnectionsDivisor = 4;
 constexpr std::int64_t kCallsDivisor = 4;
-/// Of a connection, mostly what the kernel holds for it.
-constexpr std::int64_t kConnectionBytes = 48 << 10;
+/// Of a connection: what the kernel holds for it, twice the sizes that the
+/// server sets for its buffers.
+constexpr std::int64_t kConnectionBytes = 96 << 10;
 /// Of a call: its job, decoded and as sent to the store.
 constexpr std::int64_t kCallBytes = 64 << 10;
-/// A body that does not fit would refuse even a single caller; its buffer grows
-/// by doubling, and as much may wait for its answer.
-constexpr std::int64_t kMinInputBytes = 8 * (256 << 10);
+/// Room for a few whole bodies, whose buffers grow by doubling.
+constexpr std::int64_t kMinInputBytes = 8 * kMaxBodyBytes;
 /// Descriptors for the store, targets, other entry hosts and the listeners.
 constexpr std::int64_t kReservedDescriptors = 1024;
+/// Of each of the three other listeners; together less than what is reserved.
+constexpr std::int64_t kInternalConnections = 256;
+constexpr std::size_t kInternalInputBytes = 4UL << 20;
+constexpr std::size_t kInternalBodyBytes = 64UL << 10;
 /// An open call has a connection of its caller and one to the store or owner.
 constexpr std::int64_t kDescriptorsPerCaller = 2;
+/// For settings that name none, as those of the embedded fleet.
 constexpr std::int64_t kDefaultMemoryMb = 256;
 
 }  // namespace
 
+HttpServerLimits MakeInternalLimits() {
+  return {.max_body_bytes = kInternalBodyBytes,
+          .max_connections = kInternalConnections,
+          .max_input_bytes = kInternalInputBytes};
+}
+
 CallerLimits MakeCallerLimits(std::int64_t memory_mb,
                               std::int64_t max_descriptors) {
   const std::int64_t memory = (memory_mb > 0 ? memory_mb : kDefaultMemoryMb)
--- a/Source/Fleet/caller_limits.h
+++ b/Source/Fleet/caller_limits.h
@@ -17,6 +17,9 @@
   friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
 };
 
+/// Limits of a listener that only our own processes and the platform use.
+HttpServerLimits MakeInternalLimits();
+
 /// Limits for a process that may use `memory_mb` megabytes and
 /// `max_descriptors` descriptors; 0 means that one is not known.
 CallerLimits MakeCallerLimits(std::int64_t memory_mb,
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -123,18 +123,18 @@
             ServeCaller(request, responder);
           }),
       readiness_server_(
-          loop, HttpServerLimits{},
+          loop, MakeInternalLimits(),
           [this](const HttpRequest&, const Responder& responder) {
             responder.Send(
                 {.status = IsServing(entry_, Now().now) ? 200 : 503});
           }),
       peer_server_(
-          loop, HttpServerLimits{},
+          loop, MakeInternalLimits(),
           [this](const HttpRequest& request, const Responder& responder) {
             ServePeer(request, responder);
           }),
       metrics_server_(
-          loop, HttpServerLimits{},
+          loop, MakeInternalLimits(),
           [this](const HttpRequest&, const Responder& responder) {
             metrics_.log_lines = log_.lines();
             metrics_.log_lines_dropped = log_.dropped_lines();
@@ -229,7 +229,7 @@
   metrics_.refused_calls = refused_calls_;
   const std::int64_t limited =
       counts.closed_for_memory + counts.closed_as_slow +
-      counts.closed_for_others + counts.refused_connections +
+      counts.closed_for_connections + counts.refused_connections +
       counts.refused_requests + refused_calls_;
   if (limited == limited_when_logged_) return;
   const Instant now = Now().now;
@@ -239,13 +239,14 @@
   Log(Severity::kWarn, "callers_limited",
       {{"closed_for_memory", std::to_string(counts.closed_for_memory)},
        {"closed_as_slow", std::to_string(counts.closed_as_slow)},
-       {"closed_for_others", std::to_string(counts.closed_for_others)},
+       {"closed_for_connections",
+        std::to_string(counts.closed_for_connections)},
        {"refused_connections", std::to_string(counts.refused_connections)},
        {"refused_requests", std::to_string(counts.refused_requests)},
        {"refused_calls", std::to_string(refused_calls_)},
        {"connections", std::to_string(caller_server_.OpenConnections())},
        {"bytes", std::to_string(caller_server_.InputBytes())},
-       {"calls_open", std::to_string(waiting_callers_.size())}});
+       {"calls_open", std::to_string(entry_.calls.size())}});
 }
 
 void EntryHost::RequestStop() {
@@ -297,7 +298,8 @@
 void EntryHost::ServeCaller(const HttpRequest& request,
                             const Responder& responder) {
   const EventTime time = Now();
-  if (static_cast<std::int64_t>(waiting_callers_.size()) >=
+  // Calls whose callers have left may still write to the store.
+  if (static_cast<std::int64_t>(entry_.calls.size()) >=
       caller_limits_.max_open_calls) {
     ++refused_calls_;
     responder.Send({.status = 503,
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -47,7 +47,7 @@
       {"closed_for_memory", counts.closed_for_memory},
       {"closed_as_slow", counts.closed_as_slow},
       {"closed_as_idle", counts.closed_as_idle},
-      {"closed_for_others", counts.closed_for_others},
+      {"closed_for_connections", counts.closed_for_connections},
       {"refused_connections", counts.refused_connections},
       {"refused_requests", counts.refused_requests},
       {"refused_calls", metrics.refused_calls}};
--- a/Source/Http/http_server.cc
+++ b/Source/Http/http_server.cc
@@ -21,6 +21,7 @@
 struct Responder::Pending {
   h2o_req_t* request = nullptr;  ///< Null once answered or disconnected.
   std::function<void()> on_disconnect;
+  std::function<void()> on_answer;
 };
 
 namespace {
@@ -29,6 +30,8 @@
 /// Bounds what the kernel holds for each connection, and so what one iteration
 /// of the loop reads. Larger than what a link of 10 Mbit/s carries in 20 ms.
 constexpr int kReceiveBufferBytes = 32 << 10;
+/// Answers to callers have less than 1 KB.
+constexpr int kSendBufferBytes = 16 << 10;
 constexpr Duration kCheckInterval = std::chrono::milliseconds(10);
 /// Of the limit on bytes or connections, down to which connections are closed.
 constexpr double kAfterClosing = 0.875;
@@ -97,6 +100,9 @@
     std::size_t& waiting_bytes) {
   auto pending = std::make_shared<Responder::Pending>();
   pending->request = req;
+  // h2o keeps the request until its answer has been read; a caller that does
+  // not read it must not keep its connection.
+  pending->on_answer = [connection] { connection->waiting = false; };
   void* buf = h2o_mem_alloc_shared(&req->pool, sizeof(RequestGuard),
                                    DisposeRequestGuard);
   connection->waiting = true;
@@ -123,8 +129,10 @@
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   // Accepted sockets inherit it.
-  const int bytes = kReceiveBufferBytes;
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+             sizeof(kReceiveBufferBytes));
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes,
+             sizeof(kSendBufferBytes));
   const sockaddr_in sa = ToSockaddr(address);
   const bool bound =
       bind(fd, reinterpret_cast<const sockaddr*>(&sa), sizeof(sa)) == 0;
@@ -154,8 +162,9 @@
       : loop(event_loop), limits(bounds), handler(std::move(on_request)) {
     h2o_config_init(&config);
     config.max_request_entity_size = limits.max_body_bytes;
-    config.http1.req_timeout =
-        static_cast<std::uint64_t>(limits.request_timeout_ms);
+    // Counts from the last answer on; EnforceLimits is stricter.
+    config.http1.req_timeout = static_cast<std::uint64_t>(
+        limits.idle_timeout_ms + limits.request_timeout_ms);
     config.http1.upgrade_to_http2 = 0;
     config.server_name = h2o_iovec_init(H2O_STRLIT("hyssopbarrow"));
     h2o_hostconf_t* host = h2o_config_register_host(
@@ -202,10 +211,13 @@
     const h2o_socket_t* sock = req->conn->callbacks->get_socket(req->conn);
     const auto* context = static_cast<CloseContext*>(sock->on_close.data);
     const std::shared_ptr<Connection> connection = *context->it;
-    const bool fits = self->waiting_bytes + HeldBytes(*connection) <=
-                      static_cast<std::size_t>(
-                          kMaxWaitingPart *
-                          static_cast<double>(self->limits.max_input_bytes));
+    // What had arrived before the connection was shut down is still read.
+    const bool fits =
+        !connection->shut_down &&
+        self->waiting_bytes + HeldBytes(*connection) <=
+            static_cast<std::size_t>(
+                kMaxWaitingPart *
+                static_cast<double>(self->limits.max_input_bytes));
     const Responder responder(
         TrackRequest(req, connection, self->waiting_bytes));
     if (fits) {
@@ -224,7 +236,7 @@
     return static_cast<std::int64_t>(connections.size());
   }
 
-  /// Has h2o find the connection closed, and close it, in its next iteration.
+  /// Has h2o find the connection closed once it has read what has arrived.
   void ShutDown(Connection& connection, std::int64_t& count) {
     if (connection.shut_down) return;
     connection.shut_down = true;
@@ -242,7 +254,7 @@
     connection.bytes_written = sock.bytes_written;
     if (progress) connection.progress_at = now;
     if (connection.waiting) return;
-    // An answer that is not read leaves its request in the buffer, too.
+    // h2o keeps a request in the buffer until its answer has been sent.
     if (sock.input->size == 0) {
       connection.request_began_at.reset();
     } else if (!connection.request_began_at.has_value()) {
@@ -280,8 +292,11 @@
                        std::make_pair(HeldBytes(*a), b->request_began_at);
               });
     std::size_t left = input_bytes;
+    for (const auto& it : connections) {
+      if (it->shut_down) left -= HeldBytes(*it);
+    }
     for (Connection* it : closable) {
-      if (left <= goal) return;
+      if (left <= goal || HeldBytes(*it) == 0) return;
       left -= HeldBytes(*it);
       ShutDown(*it, counts.closed_for_memory);
     }
@@ -292,7 +307,10 @@
   void LimitConnections() {
     const auto goal = static_cast<std::int64_t>(
         kAfterClosing * static_cast<double>(limits.max_connections));
-    const bool crowded = OpenCount() > (goal + limits.max_connections) / 2;
+    std::int64_t left =
+        std::count_if(connections.begin(), connections.end(),
+                      [](const auto& it) { return !it->shut_down; });
+    const bool crowded = left > (goal + limits.max_connections) / 2;
     if (!crowded) return;
     std::vector<Connection*> closable = ClosableConnections();
     const auto age = [](const Connection* it) {
@@ -302,10 +320,9 @@
               [&](const Connection* a, const Connection* b) {
                 return age(a) < age(b);
               });
-    std::int64_t left = OpenCount();
     for (Connection* it : closable) {
       if (left-- <= goal) return;
-      ShutDown(*it, counts.closed_for_others);
+      ShutDown(*it, counts.closed_for_connections);
     }
   }
 
@@ -349,6 +366,7 @@
   h2o_req_t* req = pending_->request;
   if (req == nullptr) return;
   pending_->request = nullptr;
+  if (pending_->on_answer) pending_->on_answer();
   req->res.status = response.status;
   if (response.close_connection) req->http1_is_persistent = 0;
   req->res.reason = ReasonPhrase(response.status);
--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -67,9 +67,10 @@
 /// Limits of a server.
 struct HttpServerLimits {
   std::size_t max_body_bytes = 4UL << 20;
-  std::int64_t request_timeout_ms = 10'000;  ///< To receive a whole request.
+  /// To receive a whole request, from its first byte on.
+  std::int64_t request_timeout_ms = 10'000;
   std::int64_t max_connections = 4096;
-  /// For what all connections have sent and is not answered.
+  /// For buffers with what connections have sent and is not answered.
   std::size_t max_input_bytes = 64UL << 20;
   /// Without progress, a connection on which no answer is due is closed.
   std::int64_t idle_timeout_ms = 15'000;
@@ -78,12 +79,12 @@
 /// Connections that a server has closed, and requests that it has refused,
 /// because of its limits.
 struct HttpServerCounts {
-  std::int64_t closed_for_memory = 0;    ///< They held the most.
-  std::int64_t closed_as_slow = 0;       ///< Their request took too long.
-  std::int64_t closed_as_idle = 0;       ///< No progress.
-  std::int64_t closed_for_others = 0;    ///< Too many were open.
-  std::int64_t refused_connections = 0;  ///< As above; closed at once.
-  std::int64_t refused_requests = 0;     ///< Answered with 503.
+  std::int64_t closed_for_memory = 0;       ///< They held the most.
+  std::int64_t closed_as_slow = 0;          ///< Their request took too long.
+  std::int64_t closed_as_idle = 0;          ///< No progress.
+  std::int64_t closed_for_connections = 0;  ///< Too many were open.
+  std::int64_t refused_connections = 0;     ///< As above; closed at once.
+  std::int64_t refused_requests = 0;        ///< Answered with 503.
 
   friend bool operator==(const HttpServerCounts&,
                          const HttpServerCounts&) = default;
@@ -118,7 +119,7 @@
   void EnforceLimits();
 
   const HttpServerCounts& counts() const;
-  /// Bytes that connections had sent, without an answer, at the last check.
+  /// Size of the buffers with what connections have sent, at the last check.
   std::size_t InputBytes() const;
 
  private:
--- a/Tests/Processes/clients_outside_limits.py
+++ b/Tests/Processes/clients_outside_limits.py
@@ -28,7 +28,7 @@
 SENDING_S, STAYING_S = 4, 2
 TIMEOUT_S = 60  # Detects a host that does not answer; not a limit on speed.
 SERVICE, KEY = "hut-desk", "key-of-huts"
-MODES = ("whole", "short", "pieces", "headers", "unread", "pipelined")
+MODES = ("whole", "short", "pieces", "headers", "unread", "pipelined", "deaf")
 
 
 class QuietPlatform(platform_store.Platform):
@@ -42,9 +42,9 @@
         return await super()._handle(request, inner)
 
 
-def head(method, number, length):
+def head(method, number, length, key=KEY):
     return (f"{method} /p0/{number:016x} HTTP/1.1\r\nHost: {world.HOST}\r\n"
-            f"Authorization: Token {KEY}\r\nContent-Type: application/json\r\n"
+            f"Authorization: Token {key}\r\nContent-Type: application/json\r\n"
             "X-Hyssopbarrow-Request-Timeout-Ms: 3000\r\n"
             f"Content-Length: {length}\r\n\r\n").encode()
 
@@ -68,6 +68,9 @@
                                 for n in range(300))
     if mode == "unread":
         return head("GET", number, 0) * 2000
+    if mode == "deaf":
+        # Answered at once, until the buffers for answers are full.
+        return head("GET", number, 0, "none") * 4000
     return b"".join(job(number * 1000 + n, 2000) for n in range(120))
 
 
@@ -85,6 +88,8 @@
         self.connects += 1
         self.left = memoryview(script(self.mode, self.number))
         self.socket = socket.socket()
+        if self.mode == "deaf":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.socket.setblocking(False)
         host, port = self.address.split(":")
         self.socket.connect_ex((host, int(port)))
@@ -99,7 +104,7 @@
         try:
             if self.left:
                 self.left = self.left[self.socket.send(self.left[:piece]):]
-            if self.mode != "unread" and not self.socket.recv(65536):
+            if self.mode not in ("unread", "deaf") and not self.socket.recv(65536):
                 self.connect()
         except BlockingIOError:
             pass
