--- a/Source/Policy/host_moves.cc
+++ b/Source/Policy/host_moves.cc
@@ -13,15 +13,9 @@
 /// a fraction of all hosts. Demand rises faster than a host can be moved; see
 /// docs/design/fleet.md for the measurements.
 constexpr double kHeadroomFactor = 1.1;
-constexpr double kHeadroomFleetFraction = 0.05;
-/// A small fleet has a few hosts of headroom in each pool, since single jobs
-/// are a large part of its demand.
-constexpr double kMinHeadroomHosts = 4;
-constexpr double kMaxHeadroomFleetFraction = 0.08;
-/// Until the host list shows that a move has ended.
-constexpr Duration kHostListDelay = milliseconds(500);
+constexpr double kHeadroomFleetFraction = 0.08;
 /// How long a pool keeps its hosts after it was last short of hosts.
-constexpr Duration kKeepHostsAfterShortage = milliseconds(2500);
+constexpr Duration kKeepHostsAfterShortage = milliseconds(1500);
 
 }  // namespace
 
@@ -71,21 +65,14 @@
         host_cpu_milli, static_cast<double>(target.entry.capacity.cpu_milli));
   }
   if (host_cpu_milli <= 0) return;
-  const auto hosts_in_all = static_cast<double>(host_manager_.hosts.size());
-  const double headroom_hosts = std::max(
-      kHeadroomFleetFraction * hosts_in_all,
-      std::min(kMinHeadroomHosts, kMaxHeadroomFleetFraction * hosts_in_all));
+  const double headroom_hosts =
+      kHeadroomFleetFraction * static_cast<double>(host_manager_.hosts.size());
   for (const auto& [name, pool] : context_.configuration->pools) {
     if (pool.spare) continue;
     auto it = cpu_demand.find(name);
     const double cpu_milli = it == cpu_demand.end() ? 0 : it->second;
     PoolDemand& demand = demands[name];
-    const double hosts = cpu_milli / host_cpu_milli;
-    DemandTrend& trend = host_manager_.demand_trends[name];
-    RecordDemand(trend, hosts, now());
-    const double rise =
-        ExpectedRise(trend, context_.timing.host_move + kHostListDelay);
-    const double for_demand = kHeadroomFactor * (hosts + rise);
+    const double for_demand = kHeadroomFactor * cpu_milli / host_cpu_milli;
     demand.needed_hosts = std::max(1.0, for_demand);
     demand.required_hosts = std::max(1.0, for_demand + headroom_hosts);
   }
--- a/Source/Policy/maintenance_waves.cc
+++ b/Source/Policy/maintenance_waves.cc
@@ -20,9 +20,6 @@
 constexpr double kMaxReservedPoolFraction = 0.25;
 /// Time to empty a host: about the run time of a task.
 constexpr Duration kHostEmptyingTime = milliseconds(2500);
-/// How much longer than others the longest tasks of a host take. The last hosts
-/// of a wave were late by that, 9 s after they had been reserved.
-constexpr Duration kLongestTaskTime = milliseconds(4000);
 /// After this time a request of the previous owner has arrived or timed out.
 constexpr Duration kMaxRequestTransitTime = milliseconds(700);
 /// A wave is behind schedule once its remaining hosts need at least this
@@ -188,9 +185,8 @@
   }
   const std::int64_t time_left_ms =
       wave.first_seen_unix_ms + wave.wave.duration_ms - context_.time.unix_ms;
-  const auto time_left_us = std::max(
-      0.0, static_cast<double>(
-               (milliseconds(time_left_ms) - kLongestTaskTime).count()));
+  const auto time_left_us =
+      static_cast<double>(std::max<std::int64_t>(0, time_left_ms)) * 1000;
   const std::int64_t max_unavailable =
       std::max<std::int64_t>(1, wave.wave.max_unavailable);
   const auto remaining_hosts =
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -16,7 +16,6 @@
 #include "Model/job.h"
 #include "Model/time.h"
 #include "Policy/changed_jobs.h"
-#include "Policy/demand_trend.h"
 #include "Policy/fleet_effects.h"
 #include "Policy/job_table.h"
 #include "Policy/run_times.h"
@@ -255,7 +254,6 @@
   /// Hosts by the id of their pending request.
   std::unordered_map<std::int64_t, std::string> host_by_request;
   Instant next_plan{};
-  std::map<std::string, DemandTrend> demand_trends;  ///< By pool.
   /// When a pool last needed more hosts than were available, by pool.
   std::map<std::string, Instant> last_saturated;
 };
