Http: Compare the limits of a server

The linter reported that the comparison of CallerLimits was deleted, because HttpServerLimits had none.

--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -74,6 +74,9 @@
   std::size_t max_input_bytes = 64UL << 20;
   /// Without progress, a connection on which no answer is due is closed.
   std::int64_t idle_timeout_ms = 15'000;
+
+  friend bool operator==(const HttpServerLimits&,
+                         const HttpServerLimits&) = default;
 };
 
 /// Connections that a server has closed, and requests that it has refused,
