--- a/Source/Fleet/caller_limits.cc
+++ b/Source/Fleet/caller_limits.cc
@@ -11,9 +11,9 @@
 constexpr std::int64_t kRequestTimeoutMs = 6000;
 constexpr std::int64_t kMaxConnections = 1500;
 constexpr std::int64_t kMinConnections = 64;
-/// Of the memory of the machine: for what callers have sent, whose buffers are
-/// copied as they grow, for connections,
-/// and for calls without an answer. The rest is for the owner and its tables.
+/// Parts of the machine's memory: for what callers have sent, whose buffers are
+/// copied as they grow, for connections, and for calls without an answer. The
+/// rest is for the owner and its tables.
 constexpr std::int64_t kInputDivisor = 6;
 constexpr std::int64_t kConnectionsDivisor = 4;
 constexpr std::int64_t kCallsDivisor = 4;
