Review: Show a placement policy that only answers calls given up

A burst of 2.6 times the usual traffic for 4 s makes so many calls wait for the placement policy that all time out.

--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -126,8 +126,6 @@
 
 STORE = Store()
 GANGS = Gangs()
-ADVICE_LOCK = threading.Lock()
-ADVICE_WAITING = [0]
 
 
 def now_ms():
@@ -149,22 +147,33 @@
     return 200, {"Machines": hosts, "NextToken": None}
 
 
-def advise(call):
-    """Answers one call at a time; 32 may wait."""
-    with STORE.changed:
-        if ADVICE_WAITING[0] >= 32:
-            return 429, {}
-        ADVICE_WAITING[0] += 1
-    try:
-        with ADVICE_LOCK:
-            time.sleep((SETTINGS["decide_ms"] +
-                        SETTINGS["each_ms"] * len(call["Workers"])) / 1000)
-            return 200, {"Good": [[worker, "t-" + worker]
-                                  for worker in call["Workers"]],
-                         "ValidMs": SETTINGS["valid_ms"]}
-    finally:
-        with STORE.changed:
-            ADVICE_WAITING[0] -= 1
+class Advice:
+    """The placement policy. Answers one call at a time, in turn; 32 may wait. It
+    does not notice that a caller has given up a call that waits."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.next_ticket = 0
+        self.served = 0
+
+    def answer(self, call):
+        with self.changed:
+            if self.next_ticket - self.served > 32:
+                return 429, {}
+            ticket = self.next_ticket
+            self.next_ticket += 1
+            self.changed.wait_for(lambda: self.served == ticket)
+        time.sleep((SETTINGS["decide_ms"] +
+                    SETTINGS["each_ms"] * len(call["Workers"])) / 1000)
+        with self.changed:
+            self.served += 1
+            self.changed.notify_all()
+        return 200, {"Good": [[worker, "t-" + worker]
+                              for worker in call["Workers"]],
+                     "ValidMs": SETTINGS["valid_ms"]}
+
+
+ADVICE = Advice()
 
 
 def handle(private, method, path, query, headers, body):
@@ -177,7 +186,7 @@
     if path == "/machines":
         return list_hosts()
     if path == "/advise":
-        return advise(json.loads(body))
+        return ADVICE.answer(json.loads(body))
     if path in ("/machine-move", "/machine-upkeep"):
         return 409, {"Reason": "busy"}
     if private and path == "/gang":
