--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -83,7 +83,7 @@
 
 
 class Entry:
-    def __init__(self, deployment, number):
+    def __init__(self, deployment, number, store):
         self.deployment = deployment
         self.node = f"front-namche-{number}"
         ip = f"{deployment.network}.{10 + number}"
@@ -91,7 +91,8 @@
         self.readiness = f"{ip}:8343"
         self.settings = os.path.join(deployment.directory, self.node + ".toml")
         with open(self.settings, "w") as out:
-            out.write(deployment.settings_text(self.node, ip, number == 1))
+            out.write(deployment.settings_text(self.node, ip,
+                                               number == 1, store))
         self.log = open(os.path.join(deployment.directory, self.node + ".log"), "a")
         self.process = None
 
@@ -140,6 +141,7 @@
         self.directory = tempfile.mkdtemp(prefix="hyssopbarrow-review-")
         self.network = pick_network()
         self.public = self.free_address(1)
+        self.turned_away = self.free_address(1)
         self.private = self.free_address(1)
         self.version = 0
 
@@ -185,7 +187,7 @@
                           f"{line.pop('event'):12} "
                           f"{json.dumps(line) if line else ''}\n")
 
-    def settings_text(self, node, ip, bootstrap):
+    def settings_text(self, node, ip, bootstrap, store):
         bounds = "\n".join(f"{name} = {json.dumps(value)}"
                            for name, value in BOUNDS.items())
         return f"""Node = "{node}"
@@ -224,7 +226,7 @@
 [Bounds]
 {bounds}
 [platform]
-Address = "{self.public}"
+Address = "{store}"
 form = "table"
 WritesPerS = 600
 ReadsPerS = 2000
@@ -247,21 +249,35 @@
         platform = self.spawn([
             sys.executable, os.path.join(HERE, "platform_standin.py"),
             json.dumps({"public": self.public, "private": self.private,
+                        "turned_away": self.turned_away,
                         "tx_ms": 3.0, "decide_ms": self.advice[0],
                         "each_ms": self.advice[1], "valid_ms": self.advice[2]})])
         if platform.stdout.readline().strip() != "ready":
             raise RuntimeError("the platform's stand-in did not start")
+        threading.Thread(target=self._read_platform_events,
+                         args=(platform.stdout,), daemon=True).start()
         self.put_config()
         for worker in self.workers:
             worker.start()
-        for number in range(1, entries + 1):
-            entry = Entry(self, number)
-            self.entries.append(entry)
-            entry.start()
+        for _ in range(entries):
+            self.add_entry(self.public)
         self.wait(lambda: all(it.is_ready() for it in self.entries), 20,
                   "the entry hosts are ready")
         self.wait(self.owner, 20, "an entry host owns the fleet")
 
+    def add_entry(self, store):
+        """Starts an entry host that uses the store at address `store`."""
+        entry = Entry(self, len(self.entries) + 1, store)
+        self.entries.append(entry)
+        entry.start()
+        return entry
+
+    def _read_platform_events(self, lines):
+        for line in lines:
+            event = json.loads(line)
+            with self.lock:
+                self.lines.append(event)
+
     def add_worker(self, name, service, labels, cpu, **options):
         worker = Worker(self, name, service, labels, cpu, **options)
         self.workers.append(worker)
--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -2,7 +2,8 @@
 placement policy and the meeting point of gangs.
 
 Usage: platform_standin.py SETTINGS_JSON. `public` is the address that the system
-uses, `private` the one that the operator, the workers and the test use.
+uses, `turned_away` that of an entry host which the store may leave without answers,
+and `private` the one that the operator, the workers and the test use.
 """
 
 import base64
@@ -126,6 +127,7 @@
 
 STORE = Store()
 GANGS = Gangs()
+FAULT = {"until": 0, "late_s": 0}  # Of the server `turned_away`.
 
 
 def now_ms():
@@ -176,7 +178,35 @@
 ADVICE = Advice()
 
 
-def handle(private, method, path, query, headers, body):
+def leave_unanswered(path, body):
+    """Gives no response before the fault has ended. Carries out a transaction
+    `late_s` later, if its conditions hold then."""
+    if path == "/rows-tx":
+        call = json.loads(body)
+        keys = [row["Key"] for row in call.get("SetKeys") or []]
+        print(json.dumps({"t": time.monotonic(), "event": "unanswered",
+                          "keys": keys}), flush=True)
+        late = threading.Timer(FAULT["late_s"], carry_out_late, (call, keys))
+        late.daemon = True
+        late.start()
+    time.sleep(max(0, FAULT["until"] - time.monotonic()))
+    return None, None
+
+
+def carry_out_late(call, keys):
+    status, _ = STORE.transact(call, False)
+    print(json.dumps({"t": time.monotonic(), "event": "late write", "keys": keys,
+                      "status": status}), flush=True)
+
+
+def handle(server, method, path, query, headers, body):
+    private = server == "private"
+    if private and path == "/fault":
+        FAULT.update(json.loads(body))
+        return 200, {}
+    if server == "turned_away" and path.startswith("/rows-") and \
+            time.monotonic() < FAULT["until"]:
+        return leave_unanswered(path, body)
     if path == "/rows-tx":
         return STORE.transact(json.loads(body), private)
     if path == "/rows-get":
@@ -198,11 +228,12 @@
     host, port = SETTINGS[name].split(":")
     server = httpd.Server(
         (host, int(port)),
-        lambda *request: handle(name == "private", *request))
+        lambda *request: handle(name, *request))
     threading.Thread(target=server.serve_forever, daemon=True).start()
 
 
 serve("public")
+serve("turned_away")
 serve("private")
 print("ready", flush=True)
 sys.stdin.read()
