--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -17,6 +17,8 @@
 SETTINGS = json.loads(sys.argv[1])
 READ_ONLY_TABLES = ("op", "servers")
 MAX_ROWS = 500
+MAX_BYTES = 1_000_000
+HISTORY_S = 20
 
 
 class Store:
@@ -25,7 +27,8 @@
     def __init__(self):
         self.changed = threading.Condition()
         self.rows = {}  # (table, part, key): (value, version)
-        self.log = []  # (version, table, part, key, value or None)
+        self.log = []  # (version, table, part, key, value or None, time)
+        self.dropped = 0  # Latest version that the log has no longer.
         self.version = 0
         self.part_free_at = {}
 
@@ -47,13 +50,24 @@
             self.version += 1
             for row in sets:
                 self.rows[name(row)] = (row["Value"], self.version)
-                self.log.append((self.version, *name(row), row["Value"]))
+                self.log.append((self.version, *name(row), row["Value"],
+                                 time.monotonic()))
             for row in removes:
                 if self.rows.pop(name(row), None):
-                    self.log.append((self.version, *name(row), None))
+                    self.log.append((self.version, *name(row), None,
+                                     time.monotonic()))
+            self._drop_history()
             self.changed.notify_all()
             return 200, {"Ver": self.version, "NowMs": now_ms()}
 
+    def _drop_history(self):
+        oldest = time.monotonic() - HISTORY_S
+        kept = next((n for n, entry in enumerate(self.log) if entry[5] >= oldest),
+                    len(self.log))
+        if kept:
+            self.dropped = self.log[kept - 1][0]
+            del self.log[:kept]
+
     def _wait_for_parts(self, parts):
         """A part carries out one transaction after another, TxMs each."""
         with self.changed:
@@ -78,14 +92,21 @@
                           and key[1] == query.get("part", "")
                           and key[2] >= query.get("From", "")
                           and ("Target" not in query or key[2] < query["Target"]))
-            return 200, {"rows": [self._row(key) for key in keys[:limit]],
-                         "Truncated": len(keys) > limit, "Ver": self.version,
-                         "NowMs": now_ms()}
+            rows, size = [], 0
+            for key in keys[:limit]:
+                size += len(self.rows[key][0])
+                if rows and size > MAX_BYTES:
+                    break
+                rows.append(self._row(key))
+            return 200, {"rows": rows, "Truncated": len(keys) > len(rows),
+                         "Ver": self.version, "NowMs": now_ms()}
 
     def feed(self, query):
         table, since = query["Table"], int(query.get("DependsOn", 0))
         end = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
         with self.changed:
+            if since < self.dropped:
+                return 410, {}
             while True:
                 newest = {entry[1:4]: entry for entry in self.log
                           if entry[0] > since and entry[1] == table}
@@ -94,7 +115,7 @@
                     break
                 self.changed.wait(left)
             rows = []
-            for version, _, part, key, value in sorted(newest.values(),
+            for version, _, part, key, value, _ in sorted(newest.values(),
                                                        key=lambda it: it[0]):
                 row = {"Table": table, "part": part, "Key": key, "Ver": version}
                 row.update({"Deleted": True} if value is None
