Policy: Use a restarted target once its own entry has arrived

Cause: the first reply of a new instance replaced only the start time in TargetView::entry.

The view now keeps the instance that its entry describes, and IsUsable() asks that it is the one that runs. An idle target whose entry and reply disagree is polled each second, as nothing else would ask it again.

Ruled out: to wait for the watch by a time, since the store may be slow; to take the labels from the reply, which has none. An entry without a start time describes no instance, and changes nothing here.

--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -239,7 +239,7 @@
       target.in_next_round = false;
       AdvanceTarget(owner, target, context);
     }
-    PollUnresponsiveTargets(owner, context);
+    PollUnusableTargets(owner, context);
   } else {
     for (const std::string& id : changed) {
       auto it = owner.targets.find(id);
@@ -378,6 +378,9 @@
     }
     if (!owner.lost_runs.empty()) CountLostRuns(owner, entry, context);
     target.entry = entry;
+    if (entry.started_unix_ms != 0) {
+      target.described_instance = entry.started_unix_ms;
+    }
     target.listed = true;
     target.evacuated =
         owner.evacuation.data_centres.contains(entry.data_centre);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -143,6 +143,9 @@
   /// tells; until then nothing is started or acknowledged.
   bool instance_doubted = false;
   std::string address_replied;  ///< Where this instance has answered a poll.
+  /// The instance that `entry` is of, as the targets table says; 0 if it does
+  /// not say. `entry.started_unix_ms` is the instance that was last known.
+  std::int64_t described_instance = 0;
   /// A task waits until the target has answered a poll.
   bool poll_wanted = false;
   std::optional<ClockReading> clock;  ///< Latest reading of this instance.
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -7,6 +7,7 @@
 #include "Policy/crashes.h"
 #include "Policy/isolation.h"
 #include "Policy/owner_runs.h"
+#include "Policy/target_instance.h"
 #include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
@@ -534,7 +535,7 @@
   return target.listed && !target.retired && target.synced &&
          !target.entry.draining && !target.reserved && !target.evacuated &&
          target.unanswered_polls == 0 && target.avoid_until <= now &&
-         !target.instance_doubted;
+         !target.instance_doubted && IsDescribed(target);
 }
 
 void PlaceTasks(Owner& owner, Context& context) {
--- a/Source/Policy/target_instance.cc
+++ b/Source/Policy/target_instance.cc
@@ -82,6 +82,11 @@
 
 }  // namespace
 
+bool IsDescribed(const TargetView& target) {
+  return target.described_instance == 0 ||
+         target.described_instance == target.entry.started_unix_ms;
+}
+
 void DoubtInstance(Owner& owner, TargetView& target, std::string_view reason,
                    Context& context) {
   if (target.instance_doubted) return;
--- a/Source/Policy/target_instance.h
+++ b/Source/Policy/target_instance.h
@@ -7,6 +7,10 @@
 
 namespace hyssopbarrow::fleet {
 
+/// False while the entry of the target, with its labels and its capacity, is of
+/// another instance than the one that is known to run.
+bool IsDescribed(const TargetView& target);
+
 /// Handles a sign that the target has restarted: polls it to find out.
 void DoubtInstance(Owner& owner, TargetView& target, std::string_view reason,
                    Context& context);
--- a/Source/Policy/target_polls.cc
+++ b/Source/Policy/target_polls.cc
@@ -6,6 +6,7 @@
 
 #include "Policy/crashes.h"
 #include "Policy/owner_runs.h"
+#include "Policy/target_instance.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -23,7 +24,7 @@
 
 /// A start that takes longer to be answered may have been lost.
 constexpr Duration kUsualReplyTime = milliseconds(100);
-/// Between polls of an unresponsive target without runs.
+/// Between polls of a target without runs that cannot be used.
 constexpr Duration kRecoveryPollInterval = milliseconds(1000);
 /// Of these targets that are polled in a round, of which there are 20 a second.
 constexpr std::size_t kMaxRecoveryPolls = 10;
@@ -85,8 +86,10 @@
     const bool idle = target.synced && target.runs.empty();
     return idle ? kRecoveryPollInterval : kPollRetryDelay;
   }
-  return HasUnacknowledgedEnds(target, now) ? kUnstoredEndsPollInterval
-                                            : Duration::zero();
+  if (HasUnacknowledgedEnds(target, now)) return kUnstoredEndsPollInterval;
+  const bool idle = target.runs.empty();
+  return idle && !IsDescribed(target) ? kRecoveryPollInterval
+                                      : Duration::zero();
 }
 
 bool HasRecentReading(const TargetView& target, Instant now) {
@@ -112,16 +115,16 @@
           !target.synced || wanted);
 }
 
-void PollUnresponsiveTargets(Owner& owner, Context& context) {
+void PollUnusableTargets(Owner& owner, Context& context) {
   if (!owner.jobs_loaded || !MaySendTargetRequests(owner, context.time.now)) {
     return;
   }
   std::vector<TargetView*> due;
   for (auto& [id, target] : owner.targets) {
-    const bool unresponsive = target.listed && !target.retired &&
-                              target.unanswered_polls > 0 &&
-                              target.pending_poll == 0 && target.runs.empty();
-    if (unresponsive && target.next_poll <= context.time.now) {
+    const bool unusable = target.unanswered_polls > 0 || !IsDescribed(target);
+    const bool can_poll = target.listed && !target.retired &&
+                          target.pending_poll == 0 && target.runs.empty();
+    if (unusable && can_poll && target.next_poll <= context.time.now) {
       due.push_back(&target);
     }
   }
--- a/Source/Policy/target_polls.h
+++ b/Source/Policy/target_polls.h
@@ -35,9 +35,10 @@
 /// and acknowledges stored ends once.
 void SendPoll(Owner& owner, TargetView& target, Context& context);
 
-/// Polls listed targets without runs that have not answered their last poll, so
-/// that they can be used again. Sends a limited number, the oldest first.
-void PollUnresponsiveTargets(Owner& owner, Context& context);
+/// Polls listed targets without runs that have not answered their last poll or
+/// whose entry is of another instance than their last reply, so that they can
+/// be used again. Sends a limited number, the oldest first.
+void PollUnusableTargets(Owner& owner, Context& context);
 
 }  // namespace hyssopbarrow::fleet
 
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -8,6 +8,7 @@
 #include "Fleet/fleet_simulation.h"
 #include "Fleet/owner_fixture.h"
 #include "Policy/owner_runs.h"
+#include "Policy/placement.h"
 #include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
@@ -405,6 +406,77 @@
         reading.received_at + milliseconds(static_cast<int>(lease_ms)));
 }
 
+// Guards against ROUTE: a target that had restarted was used with the labels
+// and the capacity of its earlier instance until its new entry arrived.
+TEST_CASE("a new instance is used once an entry of its own has arrived") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1,
+                {.result = TargetResult::kDone, .clock_ms = 5000});
+  const auto is_usable = [&] { return IsUsable(fixture.target, fixture.now); };
+  Target entry = fixture.target.entry;
+  entry.started_unix_ms = 1000;
+  entry.labels = {"a"};
+  fixture.ApplyEntry(entry);
+  REQUIRE(is_usable());
+  const TargetReply restarted{
+      .result = TargetResult::kDone, .clock_ms = 10, .started_unix_ms = 2000};
+  Target next = entry;
+  next.started_unix_ms = 2000;
+  next.labels = {"b"};
+  SECTION("the reply comes first") {
+    fixture.Reply(fixture.Poll(), restarted);
+    CHECK_FALSE(is_usable());
+    fixture.ApplyEntry(next);
+    CHECK(is_usable());
+    CHECK(fixture.target.entry.labels == next.labels);
+  }
+  SECTION("the entry comes first") {
+    fixture.ApplyEntry(next);
+    CHECK_FALSE(is_usable());
+    fixture.Reply(fixture.Poll(), restarted);
+    CHECK(is_usable());
+  }
+  SECTION("an entry of the earlier instance comes late") {
+    fixture.Reply(fixture.Poll(), restarted);
+    fixture.ApplyEntry(next);
+    fixture.ApplyEntry(entry);
+    fixture.Reply(fixture.Poll(), restarted);
+    CHECK_FALSE(is_usable());
+    fixture.ApplyEntry(next);
+    fixture.Reply(fixture.Poll(), restarted);
+    CHECK(is_usable());
+  }
+}
+
+// Guards against LOST: an idle target whose entry names another instance than
+// its last reply would not be polled again.
+TEST_CASE("an idle target is polled until its entry and its reply agree") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1, {.result = TargetResult::kOtherInstance});
+  REQUIRE(fixture.target.runs.empty());
+  Target next = fixture.target.entry;
+  next.started_unix_ms = 2000;
+  fixture.ApplyEntry(next);
+  // The reply of the earlier instance was on its way.
+  fixture.Reply(fixture.Poll(), {.result = TargetResult::kDone,
+                                 .clock_ms = 5000,
+                                 .started_unix_ms = 1000});
+  CHECK_FALSE(IsUsable(fixture.target, fixture.now));
+  const Instant answered = fixture.now;
+  while (fixture.target.pending_poll == 0 &&
+         fixture.now < answered + seconds(3)) {
+    fixture.now += milliseconds(50);
+    Context context = fixture.MakeContext();
+    PollUnusableTargets(fixture.owner, context);
+  }
+  CHECK(fixture.now >= answered + milliseconds(900));
+  REQUIRE(fixture.target.pending_poll != 0);
+  fixture.Reply(
+      fixture.target.pending_poll,
+      {.result = TargetResult::kDone, .clock_ms = 10, .started_unix_ms = 2000});
+  CHECK(IsUsable(fixture.target, fixture.now));
+}
+
 // Starts that were refused by the next target of a host counted as crashes
 // under their tasks, and sound jobs were given up.
 TEST_CASE("a start that another target refuses is no cause of a crash") {
