Policy: Count runs of ended jobs that a new owner finds

Cause: the progress row of a job with a final state has no assignments, so a new owner learns of runs that are still being stopped only from their targets.

A reported run of a known step is now tracked as any other, also if its job or its occurrence has ended: it counts until it ends, and its stop is sent again without a reply. While a target reports a run of a job whose row has not arrived, what that takes is not known, and IsUsable() is false. A run of an unknown job is forgotten once a complete reply lacks it; before, it stayed noted for as long as the instance ran, and the host would not have been moved.

Ruled out: to keep assignments in the rows of ended jobs. It writes rows again for each end, and the target says the same before it is used.

--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -121,6 +121,11 @@
     HandleReportedRun(owner, target, reported, context);
   }
   if (reply.complete) {
+    std::erase_if(target.unknown_runs, [&](const auto& unknown) {
+      return std::none_of(
+          reply.runs.begin(), reply.runs.end(),
+          [&](const ReportedRun& it) { return it.task == unknown.first; });
+    });
     DropVanishedRuns(owner, target, reply, request.sent_at, context);
   }
   if (!target.synced) {
@@ -260,12 +265,12 @@
   Job* job = FindJob(owner, reported.task.job);
   const Instant now = context.time.now;
   Task* task = job == nullptr ? nullptr : FindTask(*job, reported.task);
-  if (job != nullptr && task == nullptr) {
+  const bool has_step = job != nullptr && reported.task.step >= 0 &&
+                        reported.task.step < static_cast<std::int64_t>(
+                                                 job->record.spec.steps.size());
+  if (has_step && task == nullptr) {
     // The occurrence is not open here yet, or it is complete.
     const bool is_open =
-        reported.task.step >= 0 &&
-        reported.task.step <
-            static_cast<std::int64_t>(job->record.spec.steps.size()) &&
         job->finished_occurrences.count(reported.task.occurrence) == 0;
     if (is_open && !IsFinal(job->state)) {
       job->open_occurrences.try_emplace(reported.task.occurrence,
@@ -273,7 +278,7 @@
       task = FindTask(*job, reported.task);
     }
   }
-  if (task == nullptr) {
+  if (!has_step) {
     const auto [it, inserted] = target.unknown_runs.try_emplace(
         reported.task, UnknownRun{reported, now});
     if (job == nullptr && now - it->second.first_seen < kUnknownRunGrace) {
@@ -289,11 +294,12 @@
         {{"task", ToString(reported.task)},
          {"run", std::to_string(reported.run)},
          {"target", target.entry.id},
-         {"reason", "the job is unknown or has ended"}});
+         {"reason", "the job is unknown"}});
     return;
   }
   target.unknown_runs.erase(reported.task);
   const bool may_continue =
+      task != nullptr &&
       MayContinue(*job, *task, StepOf(*job, reported.task.step));
   Run& run = AddRun(owner, target, *job, reported.task, reported.run, now);
   run.confirmed_at = now;
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -93,10 +93,11 @@
   run.start_sent_at = now;
   target.used += run.resources;
   owner.team_used[run.team] += run.team_resources;
-  Task* task = FindTask(job, name);
-  task->assignments.push_back(
-      {target.entry.id, target.entry.started_unix_ms, number});
-  task->last_run = std::max(task->last_run, number);
+  if (Task* task = FindTask(job, name)) {
+    task->assignments.push_back(
+        {target.entry.id, target.entry.started_unix_ms, number});
+    task->last_run = std::max(task->last_run, number);
+  }
   if (job.state == JobState::kPending) job.state = JobState::kRunning;
   auto existing = target.runs.find(name);
   if (existing != target.runs.end() && existing->second.background) {
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -541,7 +541,8 @@
   return target.listed && !target.retired && target.synced &&
          !target.entry.draining && !target.reserved && !target.evacuated &&
          target.unanswered_polls == 0 && target.avoid_until <= now &&
-         !target.instance_doubted && IsDescribed(target);
+         !target.instance_doubted && IsDescribed(target) &&
+         target.unknown_runs.empty();
 }
 
 void PlaceTasks(Owner& owner, Context& context) {
--- a/Tests/Fleet/fleet_capacity_test.cc
+++ b/Tests/Fleet/fleet_capacity_test.cc
@@ -59,5 +59,37 @@
   CHECK(simulation.violations.empty());
 }
 
+// Review 10, LIMIT: a new owner started tasks in the room of runs of a final
+// job that were still being stopped.
+TEST_CASE("a new owner counts the runs that its predecessor has stopped") {
+  const auto seed = GENERATE(range<std::uint64_t>(480, 484));
+  const auto released = GENERATE(true, false);
+  CAPTURE(seed, released);
+  // Jobs that fill all targets.
+  constexpr std::int64_t kTasks = 4L * kTargets;
+  FleetSimulation simulation(seed, 3, kTargets);
+  simulation.stop_duration = milliseconds(800);
+  simulation.task_duration = seconds(20);
+  simulation.Run(seconds(3));
+  simulation.Submit(JobId(1), SimpleJob(kTasks, false));
+  simulation.Run(seconds(1));
+  simulation.task_duration = milliseconds(400);
+  simulation.Submit(JobId(2), SimpleJob(kTasks, false));
+  simulation.Run(milliseconds(500));
+  simulation.Cancel(JobId(1));
+  simulation.Run(milliseconds(40));
+  REQUIRE(simulation.OwnerIndex() >= 0);
+  if (released) {
+    simulation.StopEntry(simulation.OwnerIndex());
+  } else {
+    simulation.stop_duration = milliseconds(4000);
+    simulation.KillEntry(simulation.OwnerIndex());
+  }
+  simulation.Run(seconds(20));
+  CHECK(simulation.StateOf(JobId(2)) == JobState::kCompleted);
+  CAPTURE(simulation.violations);
+  CHECK(simulation.violations.empty());
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
