Policy: Keep a late insert from storing a cancelled job

Cause: only the entry host that has an unresolved insert writes a tombstone against it, and only until its call ends. A cancel at another host found no row, was answered with 'no such job' and left nothing that would stop the insert. A call that was still going on inserted it, too.

A cancel of a job that is not stored now writes a tombstone before it is answered. A call that meets the tombstone of a cancel written since it arrived refuses the job; none of its inserts can succeed over it.

Ruled out: to keep the insert after its call has ended, as the host may end as well; the cancel row as a condition of inserts, which blocks the id for good.

--- a/Source/Policy/entry.cc
+++ b/Source/Policy/entry.cc
@@ -151,6 +151,7 @@
     AdvanceOwner(*entry.owner, context);
   }
   AdvanceCalls(entry, context);
+  RemoveDueTombstone(entry.tombstones, context);
 }
 
 /// Advances after an event that may have changed the state of a target.
@@ -241,7 +242,8 @@
              ownership.matched) {
     ApplyOwnershipRows(entry, reply, ownership.has_rows, context);
   } else if (HandleOwnershipReply(entry, id, reply, context) ||
-             HandleCallStoreReply(entry, id, reply, context)) {
+             HandleCallStoreReply(entry, id, reply, context) ||
+             HandleTombstoneRemoval(entry.tombstones, id, reply, context)) {
     // The functions called in the condition have handled the reply.
   } else if (entry.owner.has_value() &&
              !HandleCommitReply(*entry.owner, id, reply, context)) {
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -9,6 +9,7 @@
 
 #include "Policy/fleet_effects.h"
 #include "Policy/owner.h"
+#include "Policy/tombstones.h"
 
 namespace hyssopbarrow::fleet {
 
@@ -167,6 +168,7 @@
   std::optional<Owner> owner;
   std::map<std::int64_t, PendingCall> calls;
   std::unordered_map<std::int64_t, std::int64_t> call_by_request;
+  Tombstones tombstones;
   bool stopping = false;
 };
 
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -41,7 +41,8 @@
 /// Handles the calls of callers. A job is inserted with the condition that its
 /// row is as last read. After an insert without reply the row is read; if the
 /// job is not there, a tombstone is written under its id, so that the insert
-/// fails if it arrives late, and the job is inserted again.
+/// fails if it arrives late, and the job is inserted again. A cancel of a job
+/// that is not stored writes a tombstone, too: an insert may be on its way.
 class CallHandler {
  public:
   CallHandler(EntryState& entry, Context& context)
@@ -291,8 +292,7 @@
         if (row == nullptr) {
           VerifyInsert(call);
         } else if (IsTombstone(row->value)) {
-          call.row_revision = row->revision;
-          InsertJob(call);
+          InsertOver(call, *row);
         } else {
           Answer(call, {.outcome = CallOutcome::kAccepted,
                         .detail = "the job was already stored"});
@@ -332,21 +332,67 @@
            .detail = "the job was found stored after an insert without reply"});
       return;
     }
-    if (!call.insert_unresolved) {
-      call.row_revision = row == nullptr ? 0 : row->revision;
+    const bool cancelled = row != nullptr && IsCancelledDuring(call, *row);
+    if (call.insert_unresolved && !cancelled) {
+      WriteTombstone(call, row);
+    } else if (row != nullptr) {
+      InsertOver(call, *row);
+    } else {
+      call.row_revision = 0;
       InsertJob(call);
+    }
+  }
+
+  /// True if `tombstone` was written for a cancel that came during the call. An
+  /// earlier cancel does not keep the id from being used again. No insert of
+  /// the call can succeed over such a tombstone.
+  static bool IsCancelledDuring(const PendingCall& call, const Row& tombstone) {
+    return tombstone.value.contains(kTombstoneCancelsField) &&
+           IntegerOrZero(tombstone.value, kTombstoneField) >=
+               call.record.accepted_ms;
+  }
+
+  /// Inserts the job in the place of a tombstone, unless that was written for a
+  /// cancel of the job.
+  void InsertOver(PendingCall& call, const Row& tombstone) {
+    if (IsCancelledDuring(call, tombstone)) {
+      Answer(call, {.outcome = CallOutcome::kNotAccepted,
+                    .detail = "the job was cancelled before it was stored"});
       return;
     }
-    // A tombstone under the id makes the insert fail if it arrives late.
+    call.row_revision = tombstone.revision;
+    InsertJob(call);
+  }
+
+  /// Writes a tombstone under the job's id, which makes an insert fail that
+  /// arrives late. `row` is the row that was read there; null if there is none.
+  void WriteTombstone(PendingCall& call, const Row* row) {
     CommitRows commit{.id = RegisterRequest(call, CallStage::kWriteTombstone)};
     commit.conditions = {
         {JobRowRef(call.job), row == nullptr ? 0 : row->revision}};
-    commit.writes = {
-        {JobRowRef(call.job), {{kTombstoneField, context_.time.unix_ms}}}};
+    nlohmann::json tombstone = {{kTombstoneField, context_.time.unix_ms}};
+    if (call.call.kind == CallKind::kCancel) {
+      tombstone[kTombstoneCancelsField] = true;
+    }
+    commit.writes = {{JobRowRef(call.job), std::move(tombstone)}};
     context_.out.emplace_back(std::move(commit));
   }
 
   void HandleTombstoneReply(PendingCall& call, const StoreRows& reply) {
+    if (reply.status == StoreStatus::kOk) {
+      KeepTombstone(entry_.tombstones, call.job, reply.revision,
+                    context_.time.now);
+    }
+    if (call.call.kind == CallKind::kCancel) {
+      if (reply.status == StoreStatus::kOk) {
+        Answer(call, {.outcome = CallOutcome::kNoJob});
+      } else if (reply.status == StoreStatus::kConflict) {
+        ReadJob(call);
+      } else {
+        ScheduleRetry(call, kStoreRetryDelay);
+      }
+      return;
+    }
     if (reply.status == StoreStatus::kOk) {
       // The late insert can no longer succeed, so it is safe to insert again.
       call.insert_unresolved = false;
@@ -413,7 +459,11 @@
     }
     const Row* row = FindJobRow(call, reply);
     if (row == nullptr || IsTombstone(row->value)) {
-      Answer(call, {.outcome = CallOutcome::kNoJob});
+      if (call.call.kind == CallKind::kCancel) {
+        WriteTombstone(call, row);
+      } else {
+        Answer(call, {.outcome = CallOutcome::kNoJob});
+      }
       return;
     }
     const std::string cancel_key = StrCat(call.job, kCancelSuffix);
@@ -473,9 +523,15 @@
         InsertJob(call);
         return;
       case CallStage::kVerifyInsert:
-      case CallStage::kWriteTombstone:
         VerifyInsert(call);
         return;
+      case CallStage::kWriteTombstone:
+        if (call.call.kind == CallKind::kCancel) {
+          ReadJob(call);
+        } else {
+          VerifyInsert(call);
+        }
+        return;
       case CallStage::kQueryOwner:
         if (call.call.kind == CallKind::kWaiting) {
           QueryWaiting(call);
--- a/Source/Policy/store_keys.h
+++ b/Source/Policy/store_keys.h
@@ -25,9 +25,13 @@
 /// Suffix of the key of a row that cancels the job with the preceding id.
 constexpr std::string_view kCancelSuffix = ".x";
 
-/// Field of a tombstone row, which blocks a late write of a rejected job.
+/// Field of a tombstone row, which blocks a late write of a job that is not
+/// stored. Holds when it was written, in Unix milliseconds.
 constexpr const char* kTombstoneField = "void";
 
+/// Field of a tombstone that was written for a cancel: true.
+constexpr const char* kTombstoneCancelsField = "cancels";
+
 }  // namespace hyssopbarrow::fleet
 
 #endif  // HYSSOPBARROW_POLICY_STORE_KEYS_H_
