Policy: Refuse jobs that the owner has no room for

The owner estimates the memory of its jobs and writes what is left of a third of MemoryMb into the lease row, which all hosts follow. A job is accepted while 96 alike would fit, so large jobs are refused first; a host takes no more between two rows than its part of half the room. The tasks of a job are dropped once its final state is stored. metrics: jobs_bytes, jobs_room_bytes.

Left: occurrences of timed jobs that open later; pages of very large rows.

--- a/Source/Fleet/caller_limits.cc
+++ b/Source/Fleet/caller_limits.cc
@@ -13,10 +13,11 @@
 constexpr std::int64_t kMinConnections = 64;
 /// Parts of the machine's memory: for what callers have sent, whose buffers are
 /// copied as they grow, for connections, and for calls without an answer. The
-/// rest is for the owner and its tables.
+/// rest is for the owner and its tables, of which most is for jobs.
 constexpr std::int64_t kInputDivisor = 6;
 constexpr std::int64_t kConnectionsDivisor = 4;
 constexpr std::int64_t kCallsDivisor = 4;
+constexpr std::int64_t kJobsDivisor = 3;
 /// Of a connection: what the kernel holds for it, twice the sizes that the
 /// server sets for its buffers.
 constexpr std::int64_t kConnectionBytes = 96 << 10;
@@ -62,6 +63,7 @@
   }
   limits.max_open_calls = std::min(limits.http.max_connections,
                                    memory / kCallsDivisor / kCallBytes);
+  limits.max_job_bytes = memory / kJobsDivisor;
   return limits;
 }
 
--- a/Source/Fleet/caller_limits.h
+++ b/Source/Fleet/caller_limits.h
@@ -13,6 +13,8 @@
 struct CallerLimits {
   HttpServerLimits http;
   std::int64_t max_open_calls = 0;  ///< Calls without an answer.
+  /// What the accepted jobs may take in the memory of the owner.
+  std::int64_t max_job_bytes = 0;
 
   friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
 };
--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -159,6 +159,7 @@
             Log(Severity::kWarn, "relay_session_closed", {{"reason", reason}});
           }) {
   entry_.timing = settings.timing;
+  entry_.timing.max_job_bytes = caller_limits_.max_job_bytes;
   entry_.self = {.node = settings.node,
                  .holder = settings.holder,
                  .address = ToString(settings.peers),
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -1,6 +1,7 @@
 #include "Fleet/fleet_metrics.h"
 
 #include "Model/text.h"
+#include "Policy/job_memory.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -61,7 +62,8 @@
               static_cast<double>(metrics.caller_connections));
 }
 
-void AppendOwnerGauges(std::string& out, const Owner& owner, Instant now) {
+void AppendOwnerGauges(std::string& out, const Owner& owner,
+                       const TimingSettings& timing, Instant now) {
   std::int64_t runs = 0;
   std::int64_t unresponsive = 0;
   for (const auto& [id, target] : owner.targets) {
@@ -70,6 +72,10 @@
   }
   AppendGauge(out, "jobs_active", "Jobs without a final state.",
               static_cast<double>(owner.active_jobs.size()));
+  AppendGauge(out, "jobs_bytes", "Memory that all jobs take, approximately.",
+              static_cast<double>(owner.job_bytes));
+  AppendGauge(out, "jobs_room_bytes", "Memory left for further jobs.",
+              static_cast<double>(RoomForJobs(owner, timing)));
   AppendGauge(out, "jobs_unstored", "Jobs whose progress waits for a commit.",
               static_cast<double>(owner.changed_jobs.size()));
   AppendGauge(
@@ -174,7 +180,9 @@
   AppendGauge(out, "relayed_requests_total",
               "Target requests that this host has carried for an owner.",
               static_cast<double>(metrics.relayed_requests));
-  if (entry.owner.has_value()) AppendOwnerGauges(out, *entry.owner, now);
+  if (entry.owner.has_value()) {
+    AppendOwnerGauges(out, *entry.owner, entry.timing, now);
+  }
   return out;
 }
 
--- a/Source/Policy/entry.h
+++ b/Source/Policy/entry.h
@@ -75,6 +75,12 @@
   bool released = true;  ///< No host holds the lease.
   /// The holder stores a record before it sends a host request.
   bool records_host_requests = false;
+  /// What the owner has left for further jobs, in bytes.
+  std::int64_t job_room = 0;
+  /// What this host may fill until the next row: an equal part of half of it,
+  /// since jobs that were just accepted are not in it yet.
+  std::int64_t job_room_share = 0;
+  Instant job_room_known_until{};
   /// Latest time at which an owner before the holder may send requests to
   /// targets.
   Instant earlier_requests_end{};
@@ -96,7 +102,8 @@
   Instant next_renewal{};
   Instant renewed_at{};  ///< When the last successful renewal was sent.
   std::int64_t renewals = 0;
-  bool releasing = false;  ///< The pending renewal releases the lease.
+  bool releasing = false;          ///< The pending renewal releases the lease.
+  std::int64_t job_room_sent = 0;  ///< In the last renewal.
 
   std::map<std::string, Candidate> candidates;  ///< By node.
   bool candidacy_written = false;  ///< This instance has announced itself.
@@ -129,6 +136,7 @@
   std::int64_t row_revision = 0;   ///< Of the job's row.
   bool insert_unresolved = false;  ///< An insert may still take effect.
   bool cancelled = false;          ///< The job has been cancelled.
+  bool too_large = false;          ///< The owner has no room for the job.
 };
 
 /// State of one entry host.
--- a/Source/Policy/entry_calls.cc
+++ b/Source/Policy/entry_calls.cc
@@ -5,6 +5,7 @@
 #include "Model/json.h"
 #include "Model/text.h"
 #include "Policy/entry_internal.h"
+#include "Policy/job_memory.h"
 #include "Policy/row_sizes.h"
 #include "Policy/store_keys.h"
 
@@ -264,7 +265,26 @@
                     .detail = std::string(s.message())});
       return;
     }
-    InsertJob(call);
+    if (!TakeRoom(call)) {
+      call.too_large = true;
+      // An earlier call may have stored the job.
+      VerifyInsert(call);
+    } else {
+      InsertJob(call);
+    }
+  }
+
+  /// Returns false if the owner is known to have no room for the job. Otherwise
+  /// takes the room that it needs until the next row of the owner arrives.
+  bool TakeRoom(const PendingCall& call) {
+    Ownership& ownership = entry_.ownership;
+    if (context_.time.now >= ownership.job_room_known_until) return true;
+    const std::int64_t bytes = BytesOfNewJob(call.record);
+    const bool has_room = HasRoomForJob(ownership.job_room, bytes) &&
+                          ownership.job_room_share > 0;
+    if (!has_room) return false;
+    ownership.job_room_share -= bytes;
+    return true;
   }
 
   void InsertJob(PendingCall& call) {
@@ -332,6 +352,11 @@
            .detail = "the job was found stored after an insert without reply"});
       return;
     }
+    if (call.too_large) {
+      Answer(call, {.outcome = CallOutcome::kNotAccepted,
+                    .detail = "the owner has no room for the job"});
+      return;
+    }
     const bool cancelled = row != nullptr && IsCancelledDuring(call, *row);
     if (call.insert_unresolved && !cancelled) {
       WriteTombstone(call, row);
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -81,6 +81,7 @@
   std::set<std::int64_t> finished_occurrences;
   Instant accepted_at{};
   std::int64_t critical_path_ms = 0;  ///< WholeCriticalPathMs; 0: not cached.
+  std::int64_t counted_bytes = 0;     ///< Part of Owner::job_bytes.
   bool has_run = false;             ///< A target has confirmed a run of a task.
   bool final_state_stored = false;  ///< The final state is in the store.
   Instant finished_at{};
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -9,6 +9,7 @@
 #include "Policy/crashes.h"
 #include "Policy/host_manager.h"
 #include "Policy/host_records.h"
+#include "Policy/job_memory.h"
 #include "Policy/owner_commits.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
@@ -145,7 +146,7 @@
     Log(context, Severity::kError, "progress_unreadable",
         {{"job", id}, {"error", std::string(status.message())}});
     job.state = JobState::kRunning;
-    owner.jobs.emplace(id, std::move(job));
+    CountJobBytes(owner, owner.jobs.emplace(id, std::move(job)).first->second);
     return;
   }
   if (IsFinal(job.state)) {
@@ -168,6 +169,7 @@
          {"revision", std::to_string(row.revision)}});
   }
   Job& added = owner.jobs.emplace(id, std::move(job)).first->second;
+  CountJobBytes(owner, added);
   // Rows of tasks that are finished may be left.
   if (!added.task_rows.empty()) MarkJobChanged(owner, added);
   owner.placement_due = true;
@@ -469,7 +471,9 @@
       Job& job = owner.jobs.at(id);
       const std::size_t open = job.open_occurrences.size();
       OpenDueOccurrences(job, context.time);
-      if (job.open_occurrences.size() != open) owner.placement_due = true;
+      if (job.open_occurrences.size() == open) continue;
+      CountJobBytes(owner, job);
+      owner.placement_due = true;
     }
     RecountWaitingJobs(owner);
     RemoveUnlistedTargets(owner, context);
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -44,6 +44,8 @@
   Duration final_state_retention = std::chrono::seconds(120);
   /// Largest value of a row that the store takes.
   std::int64_t max_row_bytes = 65'536;
+  /// Memory that the jobs of the owner may take before callers are refused.
+  std::int64_t max_job_bytes = 64L << 20;
   bool approvals_enabled = false;  ///< A placement policy answers requests.
 
   friend bool operator==(const TimingSettings&,
@@ -369,6 +371,9 @@
 
   std::unordered_map<std::string, Job> jobs;
   std::set<std::string> active_jobs;  ///< Jobs without a final state.
+  std::int64_t job_bytes = 0;         ///< Sum of Job::counted_bytes.
+  /// What the predecessor had left for jobs; holds until this owner is ready.
+  std::int64_t inherited_job_room = 0;
   /// Active jobs that may have a task to place; all of them if
   /// `all_jobs_placeable` is set, as in each sweep.
   std::set<std::string> placeable_jobs;
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -11,6 +11,7 @@
 #include "Policy/commit_rows.h"
 #include "Policy/host_manager.h"
 #include "Policy/host_records.h"
+#include "Policy/job_memory.h"
 #include "Policy/owner_load.h"
 #include "Policy/owner_runs.h"
 #include "Policy/placement.h"
@@ -137,8 +138,12 @@
     if (owner.isolated_jobs.erase(id) > 0) owner.changed_jobs.PutFirst(id);
     auto it = owner.jobs.find(id);
     if (it == owner.jobs.end() || !row.written) continue;
-    if (row.final_state) it->second.final_state_stored = true;
     it->second.tasks_in_job_row = row.has_tasks;
+    if (!row.final_state) continue;
+    it->second.final_state_stored = true;
+    // Runs that are being stopped are in the views of their targets.
+    it->second.open_occurrences.clear();
+    CountJobBytes(owner, it->second);
   }
   for (const TaskRowWrite& row : pending.task_rows) {
     auto it = owner.jobs.find(row.job);
@@ -152,7 +157,12 @@
   SendStoredStarts(owner, pending, context);
   MarkHostRecordsStored(owner, pending);
   SendRecordedHostRequests(owner, context);
-  for (const std::string& id : pending.removed_jobs) owner.jobs.erase(id);
+  for (const std::string& id : pending.removed_jobs) {
+    auto removed = owner.jobs.find(id);
+    if (removed == owner.jobs.end()) continue;
+    UncountJobBytes(owner, removed->second);
+    owner.jobs.erase(removed);
+  }
   MarkEndsStored(owner, pending.ends, context);
   for (const auto& [number, completed] : pending.waves) {
     owner.host_manager.waves[number].completion_stored = completed;
--- a/Source/Policy/owner_ends.cc
+++ b/Source/Policy/owner_ends.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Model/text.h"
+#include "Policy/job_memory.h"
 #include "Policy/owner_runs.h"
 #include "Policy/row_sizes.h"
 
@@ -38,7 +39,9 @@
   owner.placeable_jobs.insert(job.record.id);
   MarkJobChanged(owner, job);
   StopOtherRuns(owner, job, end.task, context);
+  const std::size_t open = job.open_occurrences.size();
   CloseOccurrenceIfComplete(job, end.task.occurrence);
+  if (job.open_occurrences.size() != open) CountJobBytes(owner, job);
   if (job.state == JobState::kCompleted) {
     FinishJob(owner, job, JobState::kCompleted, "all tasks are done", context);
   }
--- a/Source/Policy/owner_load.cc
+++ b/Source/Policy/owner_load.cc
@@ -51,6 +51,7 @@
          {"starts_ms", MillisecondsText(load.start_time)},
          {"slowest_start_ms", MillisecondsText(load.slowest_start)},
          {"active_jobs", std::to_string(owner.active_jobs.size())},
+         {"job_bytes", std::to_string(owner.job_bytes)},
          {"waiting_jobs", std::to_string(waiting)}});
   }
   load = OwnerLoad{.next_report = now + kReportInterval,
--- a/Source/Policy/ownership.cc
+++ b/Source/Policy/ownership.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -6,6 +7,7 @@
 #include "Policy/candidacy.h"
 #include "Policy/entry_internal.h"
 #include "Policy/host_records.h"
+#include "Policy/job_memory.h"
 #include "Policy/owner_runs.h"
 #include "Policy/store_keys.h"
 
@@ -28,7 +30,13 @@
 /// longer, the owner may be unable to reach it as well, and this host does not
 /// claim the ownership.
 constexpr Duration kMaxStoreReplyAge = milliseconds(520);
+/// How long a lease row tells what room the owner has. A takeover and the load
+/// of the tables take some seconds, in which no row tells more.
+constexpr Duration kMaxJobRoomAge = milliseconds(10'000);
 constexpr const char* kEarlierRequestsField = "earlier_requests_ms";
+/// Bytes that the owner has left for further jobs. Absent in rows of earlier
+/// versions.
+constexpr const char* kJobRoomField = "job_room";
 /// False while a request of an owner that stored no record may be carried out;
 /// owners of earlier versions store none.
 constexpr const char* kRecordsHostRequestsField = "records_host_requests";
@@ -47,7 +55,8 @@
 /// clock that never steps.
 nlohmann::json LeaseRow(const EntryState& entry, std::int64_t epoch,
                         bool released, Instant earlier_requests_end,
-                        bool records_host_requests, Instant now) {
+                        bool records_host_requests, std::int64_t job_room,
+                        Instant now) {
   const auto remaining =
       std::chrono::ceil<milliseconds>(Remaining(earlier_requests_end, now));
   return {{"holder", entry.self.holder},
@@ -56,6 +65,7 @@
           {"renewals", entry.ownership.renewals},
           {kEarlierRequestsField, remaining.count()},
           {kRecordsHostRequestsField, records_host_requests},
+          {kJobRoomField, job_room},
           {"released", released}};
 }
 
@@ -69,6 +79,12 @@
   return in_range ? milliseconds(ms) : kStoreOutageGrace;
 }
 
+/// What the owner has left for jobs, as far as the lease row tells.
+std::int64_t KnownJobRoom(const EntryState& entry, Instant now) {
+  const bool known = now < entry.ownership.job_room_known_until;
+  return known ? entry.ownership.job_room : entry.timing.max_job_bytes;
+}
+
 /// True if `holder` is an earlier instance of this host, which has ended.
 bool IsEarlierInstance(const EntryState& entry, std::string_view holder) {
   const std::string prefix = entry.self.node + "@";
@@ -102,6 +118,8 @@
   owner.epoch = epoch;
   owner.epoch_revision = revision;
   owner.commit_revision = revision;
+  owner.inherited_job_room = KnownJobRoom(entry, context.time.now);
+  ownership.job_room_sent = owner.inherited_job_room;
   owner.owned_since = context.time.now;
   owner.earlier_requests_end = ownership.requests_end_before_claim;
   owner.target_requests_allowed_until = LeaseExpiry(claim_sent_at);
@@ -146,6 +164,7 @@
   ownership.pending_renewal = context.next_id++;
   ownership.renewal_sent_at = context.time.now;
   ownership.releasing = release;
+  ownership.job_room_sent = RoomForJobs(*entry.owner, context.timing);
   CommitRows commit{.id = ownership.pending_renewal};
   commit.timeout = kRenewalTimeout;
   commit.conditions = {{OwnerRowRef(kEpochKey), entry.owner->epoch_revision}};
@@ -155,7 +174,7 @@
                 entry.owner->earlier_requests_end,
                 entry.owner->host_manager.unrecorded_requests_end <=
                     context.time.now,
-                context.time.now)}};
+                ownership.job_room_sent, context.time.now)}};
   context.out.emplace_back(std::move(commit));
 }
 
@@ -175,7 +194,7 @@
       {OwnerRowRef(kLeaseKey),
        LeaseRow(entry, epoch, false, ownership.requests_end_before_claim,
                 epoch == 1 || ownership.records_host_requests,
-                context.time.now)},
+                KnownJobRoom(entry, context.time.now), context.time.now)},
       {{Table::kProgress, std::string(kCommitKey)},
        {{"epoch", epoch}, {"sequence", 0}}}};
   Log(context, Severity::kInfo, "ownership_claimed",
@@ -269,9 +288,13 @@
 void AdvanceOwnership(EntryState& entry, Context& context) {
   Ownership& ownership = entry.ownership;
   if (entry.owner.has_value()) {
-    // A target or a commit has indicated a newer owner. A renewal finds out
-    // whether there is one.
-    if (entry.owner->fenced) {
+    // A target or a commit may have indicated a newer owner. A renewal finds
+    // out whether there is one.
+    // The other hosts must know soon that much less room is left.
+    const bool room_shrinks =
+        RoomForJobs(*entry.owner, context.timing) < ownership.job_room_sent / 2;
+    const bool row_outdated = entry.owner->fenced || room_shrinks;
+    if (row_outdated) {
       ownership.next_renewal =
           std::min(ownership.next_renewal, context.time.now);
     }
@@ -321,6 +344,12 @@
       ownership.lease_revision = row.revision;
       ownership.address = TextOrEmpty(row.value, "address");
       ownership.released = FlagOrFalse(row.value, "released");
+      ownership.job_room = IntegerOrZero(row.value, kJobRoomField);
+      const auto hosts = static_cast<std::int64_t>(ownership.candidates.size());
+      ownership.job_room_share =
+          ownership.job_room / 2 / std::max<std::int64_t>(1, hosts);
+      ownership.job_room_known_until =
+          row.value.contains(kJobRoomField) ? now + kMaxJobRoomAge : Instant{};
       ownership.records_host_requests =
           FlagOrFalse(row.value, kRecordsHostRequestsField);
       ownership.earlier_requests_end = now + EarlierRequestsTime(row.value);
--- a/Tests/Fleet/fleet_simulation.cc
+++ b/Tests/Fleet/fleet_simulation.cc
@@ -139,6 +139,7 @@
   ++host.instance;
   host.state = std::make_unique<EntryState>();
   host.state->timing.max_row_bytes = max_row_bytes_;
+  host.state->timing.max_job_bytes = max_job_bytes;
   const std::string node = StrCat("node-", n);
   host.state->self = {.node = node,
                       .holder = StrCat(node, "@", host.instance),
--- a/Tests/Fleet/fleet_simulation.h
+++ b/Tests/Fleet/fleet_simulation.h
@@ -55,6 +55,8 @@
   /// Bandwidth of all entry hosts; takes effect as `cpu_milli`. With 0, no host
   /// carries target requests for another.
   std::int64_t link_mbps = 0;
+  /// As TimingSettings::max_job_bytes; takes effect as `cpu_milli`.
+  std::int64_t max_job_bytes = TimingSettings{}.max_job_bytes;
 
   void KillEntry(int n);  ///< Restarts 0.5 s later.
   void StopEntry(int n);  ///< Planned stop; restarts 1 s later.
