Policy: Learn run times from finished runs, and order jobs by them

The order of jobs rested on declared estimates, which are off by a factor of 1.2 to 1.7 on average and, for large jobs, say little: of recorded runs the slope of run time by estimate is 0.04 to 0.42 there.

LatestStart() uses the forecast. New: hyssopbarrowctl fleet run-times, metrics, fields of owner_load.

Failed try: ends counted by their order in the step.

--- a/Source/Control/command.cc
+++ b/Source/Control/command.cc
@@ -214,7 +214,7 @@
     Command{"wait", "QUEUE JOB", "wait until a job has ended", 2, 2,
             WaitForJob},
     Command{"cancel", "QUEUE JOB", "cancel a job", 2, 2, CancelJob},
-    Command{"fleet", "jobs|targets|owners|relays|waves|evacuations",
+    Command{"fleet", "jobs|targets|owners|relays|waves|evacuations|run-times",
             "print rows from the fleet's owner", 1, 1, ShowFleet},
     Command{"list", "KIND", "print all rows of a kind", 1, 1, List},
     Command{"show", "KIND NAME", "print one row", 2, 2, Show},
--- a/Source/Control/completion.cc
+++ b/Source/Control/completion.cc
@@ -15,7 +15,7 @@
          withdraw) COMPREPLY=($(compgen -W "$(hyssopbarrowctl --output=names list key 2>/dev/null)" -- "$word")) ;;
          move) COMPREPLY=($(compgen -W "$(hyssopbarrowctl --output=names list host 2>/dev/null)" -- "$word")) ;;
          submit|status|wait|cancel) COMPREPLY=($(compgen -W "$(hyssopbarrowctl --output=names list queue 2>/dev/null)" -- "$word")) ;;
-         fleet) COMPREPLY=($(compgen -W "jobs targets owners relays waves evacuations" -- "$word")) ;;
+         fleet) COMPREPLY=($(compgen -W "jobs targets owners relays waves evacuations run-times" -- "$word")) ;;
          apply) COMPREPLY=($(compgen -f -- "$word")) ;;
          report) COMPREPLY=($(compgen -W "burn" -- "$word")) ;;
          completion) COMPREPLY=($(compgen -W "bash" -- "$word")) ;;
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -103,6 +103,21 @@
   AppendGauge(out, "target_crashes_total",
               "Crashes of targets during runs, seen by this owner.",
               static_cast<double>(owner.crash_count));
+  const RunTimeErrors& errors = owner.run_times.errors;
+  AppendGauge(out, "run_time_models", "Images with learned run times.",
+              static_cast<double>(owner.run_times.model_count));
+  AppendGauge(out, "run_time_forecasts_total",
+              "Run times that were compared with their forecast.",
+              static_cast<double>(errors.count));
+  AppendGauge(out, "run_time_forecast_log_error_total",
+              "Sum of the logarithms of the factors by which these were off.",
+              errors.forecast);
+  AppendGauge(out, "run_time_declared_log_error_total",
+              "The same for the declared estimates.", errors.declared);
+  AppendGauge(out, "run_time_below_high_total",
+              "Run times below the high forecast, of which nine in ten "
+              "are expected.",
+              static_cast<double>(errors.below_high));
   if (!owner.ready) return;
   AppendGauge(out, "jobs_table_age_seconds",
               "Since the jobs table was last known to be complete.",
--- a/Source/Fleet/fleet_view.cc
+++ b/Source/Fleet/fleet_view.cc
@@ -1,6 +1,7 @@
 #include "Fleet/fleet_view.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -129,6 +130,36 @@
   return rows;
 }
 
+/// What is expected of a task with the usual estimate.
+json ValueOf(const RunTimes& run_times, const RunTimeKey& key,
+             const RunTimeModel& model) {
+  constexpr double kPercent = 100;
+  const RunTimeForecast forecast = ForecastRunTime(run_times, key);
+  const double factor = std::exp(std::sqrt(model.errors.variance));
+  return {{"usual_declared_ms", key.declared_ms},
+          {"expected_ms", forecast.expected_ms},
+          {"high_ms", forecast.high_ms},
+          {"usual_error_pct", std::llround((factor - 1) * kPercent)},
+          {"ends", model.ends}};
+}
+
+/// By queue and, where tasks have them, image.
+std::vector<json> RunTimeRows(const Owner& owner) {
+  std::vector<json> rows;
+  for (const auto& [queue, images] : owner.run_times.models) {
+    for (const auto& [image, model] : images) {
+      const RunTimeKey key{
+          .queue = queue,
+          .image = image,
+          .declared_ms = std::llround(std::exp(model.declared_mean))};
+      rows.push_back(MakeRow(
+          "run-times", image.empty() ? queue : StrCat(queue, " ", image),
+          owner.commit_sequence, ValueOf(owner.run_times, key, model)));
+    }
+  }
+  return rows;
+}
+
 std::vector<json> OwnerRows(const EntryState& entry) {
   const Ownership& ownership = entry.ownership;
   if (!ownership.loaded || ownership.released) return {};
@@ -179,9 +210,10 @@
     return MakeRowsResponse(EvacuationRows(entry, now));
   }
   if (kind != "jobs" && kind != "targets" && kind != "relays" &&
-      kind != "waves") {
-    return ErrorResponse(
-        404, "expected jobs, targets, owners, relays, waves or evacuations");
+      kind != "waves" && kind != "run-times") {
+    return ErrorResponse(404,
+                         "expected jobs, targets, owners, relays, waves, "
+                         "evacuations or run-times");
   }
   if (!entry.owner.has_value()) {
     return ErrorResponse(
@@ -191,6 +223,7 @@
   }
   const Owner& owner = *entry.owner;
   if (kind == "jobs") return MakeRowsResponse(JobRows(owner));
+  if (kind == "run-times") return MakeRowsResponse(RunTimeRows(owner));
   if (kind == "relays") return MakeRowsResponse(RelayRows(owner, now));
   return MakeRowsResponse(kind == "targets" ? TargetRows(owner)
                                             : WaveRows(owner));
--- a/Source/Policy/commit_rows.cc
+++ b/Source/Policy/commit_rows.cc
@@ -23,6 +23,10 @@
 constexpr std::int64_t kRowReferenceBytes = 300;
 /// How long the rows of a job stay out of the commits after a refusal.
 constexpr Duration kIsolatedRetryInterval = milliseconds(2000);
+/// A new owner that begins with a summary of this age has lost little.
+constexpr Duration kRunTimesWriteInterval = milliseconds(10'000);
+/// Room for about 40 images.
+constexpr std::int64_t kMaxRunTimesBytes = 16 << 10;
 /// Of one job, so that a job with many tasks does not hold up others.
 constexpr std::size_t kMaxJobRows = 40;
 
@@ -220,6 +224,23 @@
   AddWrite(draft, std::move(key), std::move(value), bytes);
 }
 
+void AddRunTimesWrite(Owner& owner, Draft& draft, Context& context) {
+  const bool due = owner.next_run_times_write <= context.time.now &&
+                   owner.run_times.ends != owner.run_times_written_at;
+  // It waits while the row is sought because of which the store refused a
+  // commit, which is one of a job or a wave.
+  const bool has_place = owner.commit_job_limit == kMaxCommitRows &&
+                         draft.commit.writes.size() < kMaxCommitRows;
+  if (!due || !has_place) return;
+  nlohmann::json row = RunTimesRow(
+      owner.run_times, std::min(kMaxRunTimesBytes, MaxRowBytes(context)));
+  const std::int64_t bytes = SizeOf(row);
+  if (!HasRoom(draft, SentSize(bytes))) return;
+  AddWrite(draft, std::string(kRunTimesKey), std::move(row), bytes);
+  owner.next_run_times_write = context.time.now + kRunTimesWriteInterval;
+  owner.run_times_written_at = owner.run_times.ends;
+}
+
 void AddWaveWrites(Owner& owner, Draft& draft, Context& context) {
   for (auto& [number, view] : owner.host_manager.waves) {
     if (view.progress_stored) continue;
--- a/Source/Policy/commit_rows.h
+++ b/Source/Policy/commit_rows.h
@@ -36,6 +36,9 @@
 /// it.
 void AddProgressWrite(Draft& draft, std::string key, nlohmann::json value);
 
+/// Adds the summary of the learned run times if it is due.
+void AddRunTimesWrite(Owner& owner, Draft& draft, Context& context);
+
 /// Adds the progress of the maintenance waves that have changed.
 void AddWaveWrites(Owner& owner, Draft& draft, Context& context);
 
--- a/Source/Policy/job_table.cc
+++ b/Source/Policy/job_table.cc
@@ -8,32 +8,8 @@
 namespace hyssopbarrow::fleet {
 namespace {
 
-/// Used for tasks whose caller gave no estimate.
-constexpr std::int64_t kDefaultEstimateMs = 1000;
-
 std::size_t ToIndex(std::int64_t n) { return static_cast<std::size_t>(n); }
 
-std::int64_t EstimateMs(const Step& step) {
-  return step.estimate_ms > 0 ? step.estimate_ms : kDefaultEstimateMs;
-}
-
-/// Length of the longest path through the steps if step `n` takes `cost(n)`.
-template <typename Cost>
-std::int64_t LongestPathMs(const JobSpec& spec, const Cost& cost) {
-  std::vector<std::int64_t> longest_to(spec.steps.size(), 0);
-  std::int64_t longest = 0;
-  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
-    std::int64_t longest_before = 0;
-    for (const std::int64_t dependency : spec.steps[n].depends_on) {
-      longest_before =
-          std::max(longest_before, longest_to[ToIndex(dependency)]);
-    }
-    longest_to[n] = longest_before + cost(n);
-    longest = std::max(longest, longest_to[n]);
-  }
-  return longest;
-}
-
 }  // namespace
 
 Occurrence NewOccurrence(const JobSpec& spec, Instant due) {
@@ -119,21 +95,32 @@
   }
 }
 
-std::int64_t RemainingCriticalPathMs(const Job& job,
-                                     const Occurrence& occurrence) {
-  const JobSpec& spec = job.record.spec;
-  return LongestPathMs(spec, [&](std::size_t n) -> std::int64_t {
-    const StepProgress& step = occurrence.steps[n];
+CriticalPath FindCriticalPath(const RunTimes& run_times, const Job& job,
+                              const Occurrence& occurrence) {
+  const std::vector<Step>& steps = job.record.spec.steps;
+  /// The longest paths that end with each step.
+  std::vector<CriticalPath> paths(steps.size());
+  CriticalPath longest;
+  for (std::size_t n = 0; n < steps.size(); ++n) {
+    CriticalPath& path = paths[n];
+    for (const std::int64_t dependency : steps[n].depends_on) {
+      const CriticalPath& before = paths[ToIndex(dependency)];
+      path.whole_ms = std::max(path.whole_ms, before.whole_ms);
+      path.remaining_ms = std::max(path.remaining_ms, before.remaining_ms);
+    }
+    const StepProgress& progress = occurrence.steps[n];
+    const std::int64_t expected_ms =
+        ForecastRunTime(run_times, RunTimeKeyOf(job.record, steps[n]),
+                        progress.run_times)
+            .expected_ms;
     const bool complete =
-        step.done_tasks == static_cast<std::int64_t>(step.tasks.size());
-    return complete ? 0 : EstimateMs(spec.steps[n]);
-  });
-}
-
-std::int64_t WholeCriticalPathMs(const JobSpec& spec) {
-  return LongestPathMs(spec, [&](std::size_t n) -> std::int64_t {
-    return EstimateMs(spec.steps[n]);
-  });
+        progress.done_tasks == static_cast<std::int64_t>(progress.tasks.size());
+    path.whole_ms += expected_ms;
+    if (!complete) path.remaining_ms += expected_ms;
+    longest.whole_ms = std::max(longest.whole_ms, path.whole_ms);
+    longest.remaining_ms = std::max(longest.remaining_ms, path.remaining_ms);
+  }
+  return longest;
 }
 
 }  // namespace hyssopbarrow::fleet
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -12,6 +12,7 @@
 #include "Model/job.h"
 #include "Model/time.h"
 #include "Policy/fleet_effects.h"
+#include "Policy/run_times.h"
 
 namespace hyssopbarrow::fleet {
 
@@ -55,6 +56,7 @@
 struct StepProgress {
   std::vector<Task> tasks;
   std::int64_t done_tasks = 0;
+  StepRunTimes run_times;  ///< Of runs that this owner has started.
 };
 
 /// One repetition of a timed job, or the only one of any other job.
@@ -80,8 +82,7 @@
   std::map<std::int64_t, Occurrence> open_occurrences;  ///< Begun, by number.
   std::set<std::int64_t> finished_occurrences;
   Instant accepted_at{};
-  std::int64_t critical_path_ms = 0;  ///< WholeCriticalPathMs; 0: not cached.
-  std::int64_t counted_bytes = 0;     ///< Part of Owner::job_bytes.
+  std::int64_t counted_bytes = 0;   ///< Part of Owner::job_bytes.
   bool has_run = false;             ///< A target has confirmed a run of a task.
   bool final_state_stored = false;  ///< The final state is in the store.
   Instant finished_at{};
@@ -116,13 +117,17 @@
 /// completed after the last occurrence.
 void CloseOccurrenceIfComplete(Job& job, std::int64_t occurrence);
 
-/// Estimated milliseconds on the longest path through the incomplete steps of
-/// `occurrence`.
-std::int64_t RemainingCriticalPathMs(const Job& job,
-                                     const Occurrence& occurrence);
+/// Expected milliseconds on the longest path through the steps of an
+/// occurrence.
+struct CriticalPath {
+  std::int64_t whole_ms = 0;
+  std::int64_t remaining_ms = 0;  ///< Through the incomplete steps.
 
-/// Estimated milliseconds on the longest path through all steps.
-std::int64_t WholeCriticalPathMs(const JobSpec& spec);
+  friend bool operator==(const CriticalPath&, const CriticalPath&) = default;
+};
+
+CriticalPath FindCriticalPath(const RunTimes& run_times, const Job& job,
+                              const Occurrence& occurrence);
 
 }  // namespace hyssopbarrow::fleet
 
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -133,7 +133,6 @@
   const std::string id = record.id;
   Job job;
   job.record = std::move(record);
-  job.critical_path_ms = WholeCriticalPathMs(job.record.spec);
   const std::int64_t age =
       live
           ? 0
@@ -326,6 +325,13 @@
   for (const Row& row : rows.rows) {
     std::string_view key = row.key;
     if (key == kCommitKey) continue;
+    if (key == kRunTimesKey) {
+      if (owner.progress_loaded) continue;
+      RestoreRunTimes(row.value, owner.run_times);
+      Log(context, Severity::kInfo, "run_times_restored",
+          {{"models", std::to_string(owner.run_times.model_count)}});
+      continue;
+    }
     if (ConsumePrefix(key, kWavePrefix)) {
       const auto number = ParseInteger<std::int64_t>(key);
       if (!number.has_value() || !row.value.contains("done")) continue;
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -97,6 +97,9 @@
   Instant start_sent_at{};  ///< When the last start request was sent.
   /// When the target confirmed the start or first reported the run.
   std::optional<Instant> confirmed_at;
+  /// When this owner got the reply that a run from the beginning was started;
+  /// its run time counts from then.
+  std::optional<Instant> measured_from;
   /// Restored from the store and not reported by the target so far.
   bool unreported = false;
   /// Stored as a run of an earlier instance than the one that is listed. The
@@ -393,6 +396,8 @@
   std::int64_t crash_count = 0;  ///< Crashes of targets with runs.
   std::map<std::string, Resources> team_used;
   RunTimes run_times;
+  Instant next_run_times_write{};
+  std::int64_t run_times_written_at = 0;  ///< RunTimes::ends at the last one.
   EvacuationState evacuation;
   std::unordered_map<std::int64_t, PendingTargetRequest>
       pending_target_requests;
--- a/Source/Policy/owner_commits.cc
+++ b/Source/Policy/owner_commits.cc
@@ -256,6 +256,7 @@
     pending.ends = TakeCoveredEnds(owner);
     AddWaveWrites(owner, draft, context);
     if (sweep) AddExpiredJobRemovals(owner, pending, commit, context);
+    if (!commit.writes.empty()) AddRunTimesWrite(owner, draft, context);
   }
   pending.rows_left = owner.changed_jobs.size();
   if (commit.writes.empty()) {
--- a/Source/Policy/owner_ends.cc
+++ b/Source/Policy/owner_ends.cc
@@ -31,6 +31,24 @@
   }
 }
 
+/// Learns from a run that ended as done. Left out are runs that resumed from a
+/// checkpoint, those far from their data and those that use what others leave,
+/// which take longer for reasons of their own.
+void LearnFromRun(Owner& owner, const TargetView& target, const Run& run,
+                  const TaskName& name, Instant now) {
+  Job* job = FindJob(owner, name.job);
+  const Task* task = job == nullptr ? nullptr : FindTask(*job, name);
+  if (task == nullptr || task->done || !run.measured_from) return;
+  const Step& step = StepOf(*job, name.step);
+  const bool near_data =
+      step.data_rack.empty() || HasLabel(target.entry, step.data_rack);
+  if (step.long_running || step.background || !near_data) return;
+  StepProgress& progress = job->open_occurrences.at(name.occurrence)
+                               .steps[static_cast<std::size_t>(name.step)];
+  RecordRunTime(owner.run_times, RunTimeKeyOf(job->record, step),
+                progress.run_times, now - *run.measured_from);
+}
+
 void HandleTaskDone(Owner& owner, Job& job, const RunEnd& end,
                     Context& context) {
   const Step& step = StepOf(job, end.task.step);
@@ -91,6 +109,9 @@
       run != target.runs.end() && run->second.number == end.run;
   if (current) {
     if (!end.checkpoint.empty()) run->second.checkpoint = end.checkpoint;
+    if (end.kind == RunEndKind::kDone) {
+      LearnFromRun(owner, target, run->second, end.task, context.time.now);
+    }
     DropRun(owner, target, end.task);
   }
   const bool routine = end.kind == RunEndKind::kDone;
--- a/Source/Policy/owner_load.cc
+++ b/Source/Policy/owner_load.cc
@@ -1,6 +1,7 @@
 #include "Policy/owner_load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace hyssopbarrow::fleet {
@@ -13,6 +14,13 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/// Mean factor by which `count` values are off, as a percentage.
+std::string ErrorText(double log_sum, std::int64_t count) {
+  constexpr double kPercent = 100;
+  const double mean = count == 0 ? 0 : log_sum / static_cast<double>(count);
+  return std::to_string(std::llround((std::exp(mean) - 1) * kPercent));
+}
+
 }  // namespace
 
 void RecordCommit(OwnerLoad& load, std::size_t rows, std::size_t rows_left,
@@ -52,7 +60,14 @@
          {"slowest_start_ms", MillisecondsText(load.slowest_start)},
          {"active_jobs", std::to_string(owner.active_jobs.size())},
          {"job_bytes", std::to_string(owner.job_bytes)},
-         {"waiting_jobs", std::to_string(waiting)}});
+         {"waiting_jobs", std::to_string(waiting)},
+         {"run_time_models", std::to_string(owner.run_times.model_count)},
+         {"forecasts", std::to_string(owner.run_times.errors.count)},
+         {"forecast_error_pct", ErrorText(owner.run_times.errors.forecast,
+                                          owner.run_times.errors.count)},
+         {"declared_error_pct", ErrorText(owner.run_times.errors.declared,
+                                          owner.run_times.errors.count)},
+         {"below_high", std::to_string(owner.run_times.errors.below_high)}});
   }
   load = OwnerLoad{.next_report = now + kReportInterval,
                    .starts_before = owner.start_count,
--- a/Source/Policy/owner_replies.cc
+++ b/Source/Policy/owner_replies.cc
@@ -170,7 +170,11 @@
   switch (reply.result) {
     case TargetResult::kDone:
       RecordStartReply(owner.load, now - request.sent_at);
-      if (!run.confirmed_at) run.confirmed_at = now;
+      if (!run.confirmed_at) {
+        const bool first_attempt = !run.start_outcome_unknown;
+        if (first_attempt && run.checkpoint.empty()) run.measured_from = now;
+        run.confirmed_at = now;
+      }
       if (same_instance) run.instance_confirmed = true;
       if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
       if (job != nullptr) job->has_run = true;
--- a/Source/Policy/placement.cc
+++ b/Source/Policy/placement.cc
@@ -181,7 +181,8 @@
     Candidate candidate{
         .job = &job, .number = number, .occurrence = &occurrence};
     candidate.priority = queue == nullptr ? 0 : queue->priority;
-    candidate.latest_start = LatestStart(job, occurrence, queue);
+    candidate.latest_start =
+        LatestStart(owner_.run_times, job, occurrence, queue);
     const bool lasts = job.record.spec.steps.front().long_running;
     candidate.rank =
         lasts ? CandidateRank::kLongRunning
@@ -520,21 +521,19 @@
   return job.record.pool;
 }
 
-Instant LatestStart(const Job& job, const Occurrence& occurrence,
-                    const Queue* queue) {
+Instant LatestStart(const RunTimes& run_times, const Job& job,
+                    const Occurrence& occurrence, const Queue* queue) {
   const double slack = queue == nullptr ? 1.0 : queue->slack_factor;
   const std::int64_t latency_target_ms =
       queue == nullptr ? 0 : queue->latency_target_ms;
-  const auto total_ms = static_cast<double>(
-      job.critical_path_ms > 0 ? job.critical_path_ms
-                               : WholeCriticalPathMs(job.record.spec));
+  const CriticalPath path = FindCriticalPath(run_times, job, occurrence);
+  const auto total_ms = static_cast<double>(path.whole_ms);
   const auto allowed_ms = static_cast<std::int64_t>(
                               std::clamp(slack * total_ms, 0.0, kMaxSlackMs)) +
                           latency_target_ms;
   const Instant from =
       job.record.spec.repeats > 0 ? occurrence.due : job.accepted_at;
-  return from +
-         milliseconds(allowed_ms - RemainingCriticalPathMs(job, occurrence));
+  return from + milliseconds(allowed_ms - path.remaining_ms);
 }
 
 bool IsUsable(const TargetView& target, Instant now) {
--- a/Source/Policy/placement.h
+++ b/Source/Policy/placement.h
@@ -14,8 +14,8 @@
 
 /// Latest time at which the remaining work can start and still meet the latency
 /// target of the queue. `queue` may be null.
-Instant LatestStart(const Job& job, const Occurrence& occurrence,
-                    const Queue* queue);
+Instant LatestStart(const RunTimes& run_times, const Job& job,
+                    const Occurrence& occurrence, const Queue* queue);
 
 /// True if tasks may be started on `target`.
 bool IsUsable(const TargetView& target, Instant now);
--- a/Source/Policy/store_keys.h
+++ b/Source/Policy/store_keys.h
@@ -22,6 +22,9 @@
 /// its name.
 constexpr std::string_view kHostRecordPrefix = "host/";
 
+/// Row of the progress table with what was learned about run times.
+constexpr std::string_view kRunTimesKey = "run_times";
+
 /// Suffix of the key of a row that cancels the job with the preceding id.
 constexpr std::string_view kCancelSuffix = ".x";
 
--- a/Tests/Fleet/job_api_test.cc
+++ b/Tests/Fleet/job_api_test.cc
@@ -121,6 +121,11 @@
   CHECK(fixture.FleetRows("relays").empty());
   CHECK(fixture.FleetRows("waves") == nlohmann::json::array());
   CHECK(fixture.FleetRows("hosts").is_null());
+  const nlohmann::json run_times = fixture.FleetRows("run-times");
+  REQUIRE(run_times.size() == 1);
+  CHECK(run_times[0]["name"] == "book");
+  CHECK(run_times[0]["value"]["ends"] == 4);
+  CHECK(run_times[0]["value"]["expected_ms"] > 0);
 }
 
 TEST_CASE("A long-running job runs until it is cancelled") {
--- a/Tests/Fleet/odd_rows_test.cc
+++ b/Tests/Fleet/odd_rows_test.cc
@@ -275,7 +275,7 @@
   const double slack = GENERATE(1e300, 1e9, 1e6, 1.0);
   const Queue queue{.name = "book", .slack_factor = slack};
   CAPTURE(slack);
-  CHECK(LatestStart(job, job.open_occurrences.at(0), &queue) >= Instant{});
+  CHECK(LatestStart({}, job, job.open_occurrences.at(0), &queue) >= Instant{});
 }
 
 // Guards against a wave whose end overflows, and a process that ends at a row
--- a/Tests/Platform/decoder_fuzz_test.cc
+++ b/Tests/Platform/decoder_fuzz_test.cc
@@ -150,9 +150,13 @@
     }
     const auto record = fleet::ParseJobRecord(kJobId, row.value);
     if (record.ok()) {
-      fleet::WholeCriticalPathMs(record->spec);
+      job.record = *record;
+      job.open_occurrences[0] = fleet::NewOccurrence(record->spec, {});
+      fleet::FindCriticalPath({}, job, job.open_occurrences[0]);
       CHECK_NOTHROW(EncodeTargetRequest({.payload = record->spec.payload}));
     }
+    fleet::RunTimes run_times;
+    fleet::RestoreRunTimes(row.value, run_times);
     ParseClaimRow(row.value);
   }
   return rows.errors.empty();
