Policy: Poll an idle target that has reported an unknown run

Cause: takes a target out of use while it reports a run of a job whose row has not arrived. If the row never arrives and the target has no other run, nothing polled it again: a poll was asked for only by a task placed there, and none is. It stayed out of use, and its host could not be emptied.

Such a target is polled each second, as one whose entry and reply name different instances. The run is stopped by the replies after its grace, and a reply without it puts the target back into use.

Ruled out: to end the state after a time, since what the run takes is not known for as long as it lasts.

Evidence: the new test found no poll within 3 s before and passes now; test_fleet passes (241 cases).

--- a/Source/Policy/target_polls.cc
+++ b/Source/Policy/target_polls.cc
@@ -43,6 +43,12 @@
          std::none_of(target.runs.begin(), target.runs.end(), may_be_elsewhere);
 }
 
+/// True if only a reply can make the target usable: its entry is of another
+/// instance than the last reply, or it has reported a run of an unknown job.
+bool WaitsForReply(const TargetView& target) {
+  return !IsDescribed(target) || !target.unknown_runs.empty();
+}
+
 /// True if the target would report the same ends again at once.
 bool HasUnacknowledgedEnds(const TargetView& target, Instant now) {
   const bool unstored = target.last_end_processed > target.last_end_stored;
@@ -88,8 +94,8 @@
   }
   if (HasUnacknowledgedEnds(target, now)) return kUnstoredEndsPollInterval;
   const bool idle = target.runs.empty();
-  return idle && !IsDescribed(target) ? kRecoveryPollInterval
-                                      : Duration::zero();
+  return idle && WaitsForReply(target) ? kRecoveryPollInterval
+                                       : Duration::zero();
 }
 
 bool HasRecentReading(const TargetView& target, Instant now) {
@@ -121,7 +127,7 @@
   }
   std::vector<TargetView*> due;
   for (auto& [id, target] : owner.targets) {
-    const bool unusable = target.unanswered_polls > 0 || !IsDescribed(target);
+    const bool unusable = target.unanswered_polls > 0 || WaitsForReply(target);
     const bool can_poll = target.listed && !target.retired &&
                           target.pending_poll == 0 && target.runs.empty();
     if (unusable && can_poll && target.next_poll <= context.time.now) {
--- a/Source/Policy/target_polls.h
+++ b/Source/Policy/target_polls.h
@@ -35,9 +35,10 @@
 /// and acknowledges stored ends once.
 void SendPoll(Owner& owner, TargetView& target, Context& context);
 
-/// Polls listed targets without runs that have not answered their last poll or
-/// whose entry is of another instance than their last reply, so that they can
-/// be used again. Sends a limited number, the oldest first.
+/// Polls listed targets without runs that have not answered their last poll,
+/// whose entry is of another instance than their last reply, or that reported a
+/// run of an unknown job, so that they can be used again. Sends a limited
+/// number, the oldest first.
 void PollUnusableTargets(Owner& owner, Context& context);
 
 }  // namespace hyssopbarrow::fleet
--- a/Tests/Fleet/target_instance_test.cc
+++ b/Tests/Fleet/target_instance_test.cc
@@ -477,6 +477,33 @@
   CHECK(IsUsable(fixture.target, fixture.now));
 }
 
+// Guards against LOST: nothing would poll an idle target again that had
+// reported a run of a job whose row never arrives, and it would stay out of
+// use.
+TEST_CASE(
+    "an idle target with a run of an unknown job is polled until it ends") {
+  OwnerWithRun fixture;
+  fixture.Reply(fixture.next_id - 1, {.result = TargetResult::kOtherInstance});
+  REQUIRE(fixture.target.runs.empty());
+  TargetReply reply{
+      .result = TargetResult::kDone, .clock_ms = 5000, .started_unix_ms = 1000};
+  reply.runs.push_back({.task = {JobId(9), 0, 0, 0}, .run = 1});
+  fixture.Reply(fixture.Poll(), reply);
+  CHECK_FALSE(IsUsable(fixture.target, fixture.now));
+  const Instant answered = fixture.now;
+  while (fixture.target.pending_poll == 0 &&
+         fixture.now < answered + seconds(3)) {
+    fixture.now += milliseconds(50);
+    Context context = fixture.MakeContext();
+    PollUnusableTargets(fixture.owner, context);
+  }
+  CHECK(fixture.now >= answered + milliseconds(900));
+  REQUIRE(fixture.target.pending_poll != 0);
+  reply.runs.clear();
+  fixture.Reply(fixture.target.pending_poll, reply);
+  CHECK(IsUsable(fixture.target, fixture.now));
+}
+
 // Starts that were refused by the next target of a host counted as crashes
 // under their tasks, and sound jobs were given up.
 TEST_CASE("a start that another target refuses is no cause of a crash") {
