Policy: Keep a tombstone that is being removed

Cause: forgets the oldest of 10,000 tombstones for a further one. The oldest may be the one whose removal is on its way; the reply then took the next one off the list instead, and its row stayed in the store for good.

A further tombstone is not noted now, so that the first of the list is the one being removed. Its row stays in the store, as that of the oldest did.

Evidence: the new test removed key 2 after key 0 before, and key 1 now; test_fleet passes (242 cases), lint and format of the changed files are clean.

--- a/Source/Policy/tombstones.cc
+++ b/Source/Policy/tombstones.cc
@@ -18,7 +18,7 @@
 
 void KeepTombstone(Tombstones& tombstones, const std::string& job,
                    std::int64_t revision, Instant now) {
-  if (tombstones.kept.size() == kMaxKept) tombstones.kept.pop_front();
+  if (tombstones.kept.size() == kMaxKept) return;
   tombstones.kept.push_back(
       {.job = job, .revision = revision, .remove_at = now + kRetention});
 }
--- a/Source/Policy/tombstones.h
+++ b/Source/Policy/tombstones.h
@@ -27,8 +27,8 @@
   std::int64_t pending_request = 0;  ///< Request id; 0 if none.
 };
 
-/// Notes a tombstone that has been stored with `revision`. Beyond a fixed
-/// number the oldest one is forgotten.
+/// Notes a tombstone that has been stored with `revision`, unless a fixed
+/// number is noted; a further one stays in the store.
 void KeepTombstone(Tombstones& tombstones, const std::string& job,
                    std::int64_t revision, Instant now);
 
--- a/Tests/Fleet/cancel_test.cc
+++ b/Tests/Fleet/cancel_test.cc
@@ -154,5 +154,28 @@
   CHECK(fixture.store.Find(kJobRow) == nullptr);
 }
 
+// Guards against a row that is left because its tombstone was forgotten for one
+// whose removal had been answered.
+TEST_CASE("tombstones beyond the limit do not displace one being removed") {
+  CancelFixture fixture;
+  TimingSettings timing;
+  std::int64_t next_id = 1;
+  Effects out;
+  Tombstones tombstones;
+  for (int n = 0; n < 10'000; ++n) {
+    KeepTombstone(tombstones, std::to_string(n), n + 1, fixture.now);
+  }
+  const EventTime later{.now = fixture.now + seconds(31)};
+  Context context{
+      .time = later, .timing = timing, .next_id = next_id, .out = out};
+  RemoveDueTombstone(tombstones, context);
+  KeepTombstone(tombstones, "further", 20'000, later.now);
+  REQUIRE(HandleTombstoneRemoval(tombstones, tombstones.pending_request,
+                                 {.status = StoreStatus::kOk}, context));
+  REQUIRE(out.size() == 2);
+  CHECK(std::get<CommitRows>(out[0]).writes[0].first.key == "0");
+  CHECK(std::get<CommitRows>(out[1]).writes[0].first.key == "1");
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
