--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,8 +7,8 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../standins-3"))
-from standins import (TENANT, Client, Entry, Platform, free_network, route, run_case,
-                      wait_ready)
+from standins import (TENANT, Client, Entry, Platform, free_network, limit_memory, route,
+                      run_case, wait_ready)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOBS, START_IN_S, TIMES, INTERVAL_MS = 1000, 20.0, 8, 3000
@@ -22,36 +22,6 @@
           **({"DependsOn": [n - 1]} if n else {})} for n in range(4)]
 
 
-def memory_mb(entry):
-    """Resident memory of the process, in MB; 0 if it does not run."""
-    try:
-        with open(f"/proc/{entry.process.pid}/status") as status:
-            for line in status:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
-
-
-async def limit_memory(record, entries, ends):
-    """Does what the platform does with a process over its limit."""
-    next_look = 0.0
-    while True:
-        used = [round(memory_mb(entry), 1) for entry in entries]
-        if time.monotonic() >= next_look:
-            next_look = time.monotonic() + 1
-            record("memory", mb=used)
-        for entry, mb in zip(entries, used):
-            if mb <= MEMORY_MB:
-                continue
-            record("over_memory", entry=entry.number, mb=mb, limit_mb=MEMORY_MB)
-            ends[entry.number] += 1
-            entry.kill()
-            asyncio.get_running_loop().call_later(RESTART_S, entry.start)
-        await asyncio.sleep(0.05)
-
-
 async def run(record, directory):
     platform = Platform(record, free_network())
     platform.quiet = True
@@ -71,7 +41,8 @@
             if not await wait_ready(entry):
                 return 2
         await asyncio.sleep(2)
-        watch = asyncio.create_task(limit_memory(record, entries, ends))
+        watch = asyncio.create_task(limit_memory(
+            record, entries, [MEMORY_MB] * len(entries), ends, RESTART_S))
         client = Client(platform, entries)
         body = {"Spec": "booking check", "Steps": STEPS}
         start = time.monotonic()
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -550,7 +550,7 @@
 Readiness = "{ip}:{readiness}"
 Control = "{ip}:{control}"
 [Limits]
-CpuShare = 0.25
+CpuShare = {cpu_share}
 Cores = 1
 MemoryMb = {memory_mb}
 MaxFds = 4100
@@ -621,7 +621,8 @@
 class Entry:
     """An entry host: the project's program with the deploy file's command."""
 
-    def __init__(self, platform, number, directory, memory_mb=260, with_advice=False):
+    def __init__(self, platform, number, directory, memory_mb=260, with_advice=False,
+                 cpu_share=0.25):
         self.platform, self.number = platform, number
         self.ip = f"{platform.network}.{10 + number}"
         self.front = f"{self.ip}:8340"
@@ -631,6 +632,7 @@
             out.write(SETTINGS.format(
                 number=number, ip=self.ip, internal=7000, internal_end=7015, front=8340,
                 readiness=8343, control=8345, memory_mb=memory_mb,
+                cpu_share=cpu_share,
                 store=platform.store.server.address, cloud=platform.cloud.address,
                 advice=f'Advice = "{platform.advice.address}"' if with_advice else ""))
         self.process = None
@@ -655,6 +657,37 @@
                     if line.startswith("{") and f'"event":"{event}"' in line]
 
 
+    def memory_mb(self):
+        """Resident memory of the process, in MB; 0 if it does not run."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as status:
+                for line in status:
+                    if line.startswith("VmRSS:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0.0
+
+
+async def limit_memory(record, entries, limits_mb, ends, restart_s):
+    """Does what the platform does with processes over their limits, and counts these
+    in `ends`, by entry."""
+    next_look = 0.0
+    while True:
+        used = [round(entry.memory_mb(), 1) for entry in entries]
+        if time.monotonic() >= next_look:
+            next_look = time.monotonic() + 1
+            record("memory", mb=used)
+        for entry, mb, limit in zip(entries, used, limits_mb):
+            if mb <= limit:
+                continue
+            record("over_memory", entry=entry.number, mb=mb, limit_mb=limit)
+            ends[entry.number] += 1
+            entry.kill()
+            asyncio.get_running_loop().call_later(restart_s, entry.start)
+        await asyncio.sleep(0.05)
+
+
 async def call(address, method, path, body=None, timeout_s=3.0, token=TENANT["ApiKeys"][0]):
     """One client request on a new connection; returns status and body, or None."""
     host, port = address.split(":")
