--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -425,6 +425,7 @@
     """Store, machines, advice and workers of a small deployment."""
 
     heartbeat_s = 1.5
+    upkeep_s = 2.0
     hold_max_ms = 10000
     rejects_overload = True
     # Leaves orders and ends out of the record, where there are very many.
@@ -437,6 +438,8 @@
         self.cloud = HttpServer(self._cloud)
         self.advice = HttpServer(self._advise)
         self.workers = {}
+        self.in_upkeep = set()   # Machines.
+        self.maintained = set()  # (machine, wave) of which the upkeep has begun.
         self.specs = {}     # job -> body as sent by a client
         self.tickets = {}   # (worker, life, step) -> (ticket, valid until)
         self.advised = 0
@@ -467,16 +470,57 @@
         return step.get("Cpu", 0), step.get("MemMb", 0)
 
     async def _cloud(self, method, path, query, headers, body):
-        if path != "/machines":
-            body = json.loads(body)
-            self.record("machine_call", path=path, body=body,
-                        token=headers.get("x-hyssopbarrow-fencing-token"))
+        if path == "/machines":
+            rows = [{"Machine": w.machine, "Pool": w.pool, "State": self.machine_state(w),
+                     "Zone": "namche", "Labels": w.labels,
+                     "Capacity": {"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0},
+                     "Id": w.ident if w.up else ""}
+                    for w in self.workers.values()]
+            return 200, {"Machines": rows, "NextToken": None}
+        body = json.loads(body)
+        machine, wave = body["Machine"], body.get("Wave")
+        worker = next((w for w in self.workers.values() if w.machine == machine), None)
+        token = headers.get("x-hyssopbarrow-fencing-token")
+        status, answer = self._order(path, worker, wave)
+        self.record("machine_order", path=path, machine=machine, wave=wave, token=token,
+                    status=status)
+        return status, answer
+
+    def machine_state(self, worker):
+        if worker.machine in self.in_upkeep:
+            return "upkeep"
+        return "up" if worker.up else "down"
+
+    def _order(self, path, worker, wave):
+        """Carries an order for a machine out. Moves are turned away: no machine of
+        these deployments may change its pool."""
+        if worker is None:
+            return 400, None
+        if path != "/machine-upkeep":
+            return 409, {"Reason": "busy"}
+        machines = (self.store.get_json("op", f"wave/{wave}") or {}).get("Machines", [])
+        if worker.machine not in machines:
+            return 409, {"Reason": "wave"}
+        if (worker.machine, wave) in self.maintained:
+            return 200, None
+        if not worker.up:
             return 409, {"Reason": "busy"}
-        rows = [{"Machine": w.machine, "Pool": w.pool, "State": "up" if w.up else "down",
-                 "Zone": "namche", "Labels": w.labels,
-                 "Capacity": {"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0},
-                 "Id": w.ident if w.up else ""} for w in self.workers.values()]
-        return 200, {"Machines": rows, "NextToken": None}
+        self.maintained.add((worker.machine, wave))
+        self.in_upkeep.add(worker.machine)
+        worker.crash()
+        self.store.remove("servers", worker.ident)
+        asyncio.get_running_loop().call_later(
+            self.upkeep_s, lambda: asyncio.ensure_future(self._end_upkeep(worker)))
+        return 200, None
+
+    async def _end_upkeep(self, worker):
+        """A new worker with an id of its own joins on the machine."""
+        del self.workers[worker.ident]
+        worker.ident = f"i-{random.getrandbits(40):010x}"
+        worker.port = 0
+        self.workers[worker.ident] = worker
+        await worker.start()
+        self.in_upkeep.discard(worker.machine)
 
     async def _advise(self, method, path, query, headers, body):
         body = json.loads(body)
