Http: Close no socket that h2o has in its list of pending ones

Cause: EntryHost sends requests between two iterations of the loop. Their writes leave sockets in h2o's list of pending ones, and the loop waited for up to 100 ms before it let h2o handle them. When that wait was interrupted, h2o_evloop_run returned without handling them, RunOnce ignored the result and ran its timers, and HttpClient::OnDeadline closed such sockets. h2o frees closed sockets at the next iteration, whether or not they are in the list.

Ruled out: an interrupted wait without pending sockets; after timers the loop polls without waiting, which is not interrupted.

The loop no longer waits while a socket is pending, repeats an interrupted poll before it runs timers, and closes sockets by CallAfterPoll, when none is pending. This also mends a request that is cancelled, and a client that is destroyed, in the iteration in which a request was sent, and responses that had arrived during a freeze but were dropped as late.

--- a/Source/Fleet/entry_host.cc
+++ b/Source/Fleet/entry_host.cc
@@ -138,6 +138,7 @@
           [this](const HttpRequest&, const Responder& responder) {
             metrics_.log_lines = log_.lines();
             metrics_.log_lines_dropped = log_.dropped_lines();
+            metrics_.interrupted_waits = loop_.interrupted_waits();
             metrics_.relay_links =
                 static_cast<std::int64_t>(relay_client_.LinkCount());
             metrics_.relayed_requests = relay_server_.request_count();
--- a/Source/Fleet/fleet_metrics.cc
+++ b/Source/Fleet/fleet_metrics.cc
@@ -190,6 +190,9 @@
   AppendGauge(out, "log_left_out", "Lines left out by the log's bounds.",
               static_cast<double>(metrics.log_lines_dropped));
   AppendCallerLimits(out, metrics);
+  AppendGauge(out, "interrupted_waits_total",
+              "Waits for events that a signal or a freeze has ended.",
+              static_cast<double>(metrics.interrupted_waits));
   AppendGauge(out, "relay_links", "Relays that this host sends requests to.",
               static_cast<double>(metrics.relay_links));
   AppendGauge(out, "relayed_requests_total",
--- a/Source/Fleet/fleet_metrics.h
+++ b/Source/Fleet/fleet_metrics.h
@@ -26,6 +26,8 @@
   std::int64_t connections_given_up = 0;
   std::int64_t log_lines = 0;
   std::int64_t log_lines_dropped = 0;
+  /// Waits for events that a signal or a freeze has ended.
+  std::int64_t interrupted_waits = 0;
   std::int64_t relay_links = 0;
   std::int64_t relayed_requests = 0;
   HttpServerCounts callers;  ///< Of the listener for callers.
--- a/Source/Http/event_loop.cc
+++ b/Source/Http/event_loop.cc
@@ -3,13 +3,21 @@
 #include <h2o.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
 #include <ctime>
+#include <iostream>
 
 namespace hyssopbarrow {
 namespace {
 
 constexpr Duration kMaxPollWait = std::chrono::milliseconds(100);
 
+void RunAll(const std::vector<std::function<void()>>& callbacks) {
+  for (const auto& callback : callbacks) callback();
+}
+
 }  // namespace
 
 Instant SteadyNow() {
@@ -25,13 +33,12 @@
 EventLoop::EventLoop() : loop_(h2o_evloop_create()), now_(SteadyNow()) {}
 
 EventLoop::~EventLoop() {
-  // Callbacks may own sockets. h2o must not have them in its list of pending
-  // sockets when they are closed, so run an iteration first.
-  h2o_evloop_run(loop_, 0);
+  // Callbacks may own sockets, which close after a poll.
   timers_.clear();
   deferred_.clear();
+  while (!after_poll_.empty()) Poll(0);
   // h2o frees closed sockets during iterations of its loop.
-  for (int n = 0; n < 2; ++n) h2o_evloop_run(loop_, 0);
+  for (int n = 0; n < 2; ++n) Poll(0);
   KeepUntilExit(loop_);
 }
 
@@ -52,6 +59,10 @@
   deferred_.push_back(std::move(callback));
 }
 
+void EventLoop::CallAfterPoll(std::function<void()> callback) {
+  after_poll_.push_back(std::move(callback));
+}
+
 void EventLoop::Run() {
   running_ = true;
   while (running_) RunOnce(SteadyNow() + kMaxPollWait);
@@ -59,34 +70,42 @@
 
 void EventLoop::RunOnce(Instant latest) {
   now_ = SteadyNow();
-  h2o_evloop_run(loop_, WaitMilliseconds(latest));
+  Poll(WaitMilliseconds(latest));
   now_ = SteadyNow();
-  const bool timers_ran = RunDueTimers();
-  const bool deferred_ran = RunDeferred();
-  has_new_work_ = timers_ran || deferred_ran;
+  RunDueTimers();
+  RunDeferred();
 }
 
-bool EventLoop::RunDueTimers() {
-  bool ran = false;
+void EventLoop::Poll(std::int32_t wait_ms) {
+  const auto batch = std::exchange(after_poll_, {});
+  // An interrupted call handles no pending sockets. Only a call that waits can
+  // be interrupted.
+  while (h2o_evloop_run(loop_, wait_ms) != 0) {
+    if (errno != EINTR) {
+      std::cerr << "event loop: waiting for events failed: "
+                << std::strerror(errno) << "\n";
+      std::abort();
+    }
+    ++interrupted_waits_;
+    wait_ms = 0;
+  }
+  RunAll(batch);
+}
+
+void EventLoop::RunDueTimers() {
   while (!timers_.empty() && timers_.begin()->first.deadline <= now_) {
     auto node = timers_.extract(timers_.begin());
     node.mapped()();
-    ran = true;
   }
-  return ran;
 }
 
-bool EventLoop::RunDeferred() {
-  std::vector<std::function<void()>> batch;
-  batch.swap(deferred_);
-  for (auto& callback : batch) callback();
-  return !batch.empty();
-}
+void EventLoop::RunDeferred() { RunAll(std::exchange(deferred_, {})); }
 
 std::int32_t EventLoop::WaitMilliseconds(Instant latest) const {
-  // Don't wait after callbacks ran: h2o completes writes that were started
-  // outside its own iteration only after the next poll.
-  if (has_new_work_ || !deferred_.empty()) return 0;
+  // h2o handles sockets that became pending outside a poll after the next one.
+  const bool pending = loop_->_pending_as_client != nullptr ||
+                       loop_->_pending_as_server != nullptr;
+  if (pending || !deferred_.empty() || !after_poll_.empty()) return 0;
   if (!timers_.empty()) {
     latest = std::min(latest, timers_.begin()->first.deadline);
   }
--- a/Source/Http/event_loop.h
+++ b/Source/Http/event_loop.h
@@ -41,6 +41,11 @@
   /// Calls `callback` at the end of the current iteration.
   void Defer(std::function<void()> callback);
 
+  /// Calls `callback` once h2o has polled and has no pending sockets. For
+  /// closing sockets: a write that completes outside a poll makes its socket
+  /// pending, and closing the socket does not remove it from h2o's list.
+  void CallAfterPoll(std::function<void()> callback);
+
   /// Runs iterations until Stop is called.
   void Run();
 
@@ -50,21 +55,27 @@
   /// Runs one iteration that waits for events until `latest` at most.
   void RunOnce(Instant latest);
 
+  /// Number of waits that a signal, or stopping the process, has interrupted.
+  std::int64_t interrupted_waits() const { return interrupted_waits_; }
+
   st_h2o_evloop_t* raw() const { return loop_; }
 
  private:
-  /// Both return whether any callback ran.
-  bool RunDueTimers();
-  bool RunDeferred();
+  /// Lets h2o wait for events and handle them, and runs the callbacks of
+  /// CallAfterPoll.
+  void Poll(std::int32_t wait_ms);
+  void RunDueTimers();
+  void RunDeferred();
   std::int32_t WaitMilliseconds(Instant latest) const;
 
   st_h2o_evloop_t* loop_;
   Instant now_;
   bool running_ = false;
-  bool has_new_work_ = false;  ///< Callbacks ran since h2o last polled.
+  std::int64_t interrupted_waits_ = 0;
   std::int64_t next_timer_number_ = 1;
   std::map<TimerId, std::function<void()>> timers_;
   std::vector<std::function<void()>> deferred_;
+  std::vector<std::function<void()>> after_poll_;
 };
 
 /// Keeps an h2o object reachable until the process exits, for objects that h2o
--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -65,7 +65,7 @@
 
 }  // namespace
 
-struct HttpClient::Impl {
+struct HttpClient::Impl : std::enable_shared_from_this<Impl> {
   /// A connection to one address, or the attempt to open it. h2o keeps it in a
   /// pool of its own between two exchanges, so that it can be closed by itself.
   struct Connection {
@@ -87,10 +87,13 @@
     Instant transfer_deadline;
     bool sent = false;
     bool progressed = false;  ///< Since `timer` was set.
+    bool abandoned = false;   ///< Its connection closes after the next poll.
     HttpResponse response;
     TransferCallback callback;
   };
 
+  using ExchangePtr = std::shared_ptr<Exchange>;
+
   struct AddressLess {
     bool operator()(const Address& a, const Address& b) const {
       return std::tie(a.ip, a.port) < std::tie(b.ip, b.port);
@@ -192,13 +195,13 @@
     });
   }
 
-  /// Removes an exchange that has ended, whose h2o client is closed.
-  std::unique_ptr<Exchange> Remove(std::int64_t number, bool complete) {
-    auto it = exchanges.find(number);
-    if (it == exchanges.end()) return nullptr;
-    std::unique_ptr<Exchange> exchange = std::move(it->second);
-    exchanges.erase(it);
-    ReleaseConnection(*exchange, complete);
+  /// Removes an exchange that has ended. An abandoned one keeps its connection
+  /// until that is closed.
+  ExchangePtr Remove(std::int64_t number, bool complete) {
+    auto node = exchanges.extract(number);
+    if (node.empty()) return nullptr;
+    ExchangePtr exchange = std::move(node.mapped());
+    if (!exchange->abandoned) ReleaseConnection(*exchange, complete);
     return exchange;
   }
 
@@ -219,15 +222,22 @@
   /// the callback.
   static void Finish(Exchange& exchange, TransferResult result) {
     exchange.client = nullptr;
+    ScheduleCallback(exchange, result);
+  }
+
+  static void ScheduleCallback(Exchange& exchange, TransferResult result) {
     Impl& self = *exchange.owner;
     self.loop.CancelTimer(exchange.timer);
-    self.loop.Defer([owner = &self, number = exchange.number, result] {
-      owner->RunCallback(number, result);
-    });
+    self.loop.Defer(
+        [weak = self.weak_from_this(), number = exchange.number, result] {
+          if (const auto owner = weak.lock()) {
+            owner->RunCallback(number, result);
+          }
+        });
   }
 
   void RunCallback(std::int64_t number, TransferResult result) {
-    const std::unique_ptr<Exchange> exchange =
+    const ExchangePtr exchange =
         Remove(number, result == TransferResult::kComplete);
     if (exchange == nullptr) return;
     exchange->callback(result, std::move(exchange->response));
@@ -244,6 +254,7 @@
                                            std::size_t* count,
                                            int* method_is_head) {
     auto& exchange = *static_cast<Exchange*>(client->data);
+    if (IsClosedByReturn(exchange)) return nullptr;
     if (error != nullptr) {
       Finish(exchange, TransferResult::kNotConnected);
       return nullptr;
@@ -262,6 +273,7 @@
                                         h2o_iovec_t, h2o_header_t* headers,
                                         std::size_t count, int) {
     auto& exchange = *static_cast<Exchange*>(client->data);
+    if (IsClosedByReturn(exchange)) return nullptr;
     if (error != nullptr && error != h2o_http1client_error_is_eos) {
       Finish(exchange, FailureResult(exchange));
       return nullptr;
@@ -281,6 +293,7 @@
 
   static int OnBody(h2o_http1client_t* client, const char* error) {
     auto& exchange = *static_cast<Exchange*>(client->data);
+    if (IsClosedByReturn(exchange)) return -1;
     const bool complete = error == h2o_http1client_error_is_eos;
     if (error != nullptr && !complete) {
       Finish(exchange, TransferResult::kBroken);
@@ -299,13 +312,33 @@
     return 0;
   }
 
-  /// Closes the connection of an exchange without a complete response.
+  /// Closes the connection of an exchange without a complete response, after
+  /// the next poll.
+  void Abandon(const ExchangePtr& exchange) {
+    if (exchange->client == nullptr || exchange->abandoned) return;
+    exchange->abandoned = true;
+    loop.CallAfterPoll([exchange] {
+      Impl& self = *exchange->owner;
+      self.CloseClient(*exchange);
+      self.ReleaseConnection(*exchange, false);
+    });
+  }
+
+  /// Requires that h2o has no pending sockets.
   static void CloseClient(Exchange& exchange) {
+    if (exchange.client == nullptr) return;
     ResetOnClose(exchange.client);
     h2o_http1client_cancel(exchange.client);
     exchange.client = nullptr;
   }
 
+  /// True if a callback of h2o concerns an abandoned exchange. h2o then closes
+  /// the connection and frees the client as the callback returns.
+  static bool IsClosedByReturn(Exchange& exchange) {
+    if (exchange.abandoned) exchange.client = nullptr;
+    return exchange.abandoned;
+  }
+
   void SetDeadline(Exchange& exchange, Instant deadline) {
     exchange.progressed = false;
     exchange.timer = loop.CallAt(
@@ -315,17 +348,25 @@
   void OnDeadline(std::int64_t number) {
     auto it = exchanges.find(number);
     if (it == exchanges.end() || it->second->client == nullptr) return;
-    Exchange& exchange = *it->second;
+    const ExchangePtr kept = it->second;
+    Exchange& exchange = *kept;
     const Instant now = loop.Now();
     if (exchange.progressed && now < exchange.transfer_deadline) {
       SetDeadline(exchange,
                   std::min(now + kMaxStall, exchange.transfer_deadline));
       return;
     }
-    CloseClient(exchange);
+    Abandon(kept);
     if (exchange.sent) CloseSilentConnections(exchange);
-    Finish(exchange, exchange.sent ? TransferResult::kTimedOut
-                                   : TransferResult::kNotConnected);
+    ScheduleCallback(exchange, exchange.sent ? TransferResult::kTimedOut
+                                             : TransferResult::kNotConnected);
+  }
+
+  void Close() {
+    for (auto& [address, list] : connections) {
+      for (auto& connection : list) h2o_socketpool_dispose(&connection->pool);
+    }
+    h2o_timeout_dispose(loop.raw(), &io_timeout);
   }
 
   EventLoop& loop;
@@ -336,30 +377,30 @@
   std::map<Address, std::vector<std::unique_ptr<Connection>>, AddressLess>
       connections;
   TimerId idle_check;
-  std::unordered_map<std::int64_t, std::unique_ptr<Exchange>> exchanges;
+  std::unordered_map<std::int64_t, ExchangePtr> exchanges;
   std::int64_t next_exchange = 1;
 };
 
 HttpClient::HttpClient(EventLoop& loop, const HttpClientLimits& limits,
                        TimeoutObserver on_timeout)
-    : impl_(std::make_unique<Impl>(loop, limits, std::move(on_timeout))) {}
+    : impl_(std::make_shared<Impl>(loop, limits, std::move(on_timeout))) {}
 
 HttpClient::~HttpClient() {
+  EventLoop& loop = impl_->loop;
+  loop.CancelTimer(impl_->idle_check);
   for (auto& [number, exchange] : impl_->exchanges) {
-    if (exchange->client != nullptr) h2o_http1client_cancel(exchange->client);
+    loop.CancelTimer(exchange->timer);
+    impl_->Abandon(exchange);
   }
   impl_->exchanges.clear();
-  impl_->loop.CancelTimer(impl_->idle_check);
-  for (auto& [address, list] : impl_->connections) {
-    for (auto& connection : list) h2o_socketpool_dispose(&connection->pool);
-  }
-  h2o_timeout_dispose(impl_->loop.raw(), &impl_->io_timeout);
+  // Connections outlive the abandoned exchanges that use them.
+  loop.CallAfterPoll([impl = std::move(impl_)] { impl->Close(); });
 }
 
 std::int64_t HttpClient::Send(const ClientRequest& request,
                               TransferCallback callback) {
   const std::int64_t number = impl_->next_exchange++;
-  auto exchange = std::make_unique<Impl::Exchange>();
+  auto exchange = std::make_shared<Impl::Exchange>();
   exchange->owner = impl_.get();
   exchange->number = number;
   exchange->address = request.address;
@@ -377,7 +418,7 @@
   auto it = impl_->exchanges.find(exchange);
   if (it == impl_->exchanges.end()) return;
   impl_->loop.CancelTimer(it->second->timer);
-  if (it->second->client != nullptr) Impl::CloseClient(*it->second);
+  impl_->Abandon(it->second);
   impl_->Remove(exchange, false);
 }
 
--- a/Source/Http/http_client.h
+++ b/Source/Http/http_client.h
@@ -81,7 +81,7 @@
 
  private:
   struct Impl;
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace hyssopbarrow
--- a/Source/Peer/tcp_stream.cc
+++ b/Source/Peer/tcp_stream.cc
@@ -61,19 +61,15 @@
     }
   }
 
-  /// Detaches the socket and closes it after the next iteration of h2o's event
-  /// loop. A write that completes outside an iteration leaves its socket in
-  /// h2o's list of pending sockets, and closing it does not remove it there.
+  /// Detaches the socket and closes it after the next poll.
   void CloseSocket() {
     if (socket == nullptr) return;
     h2o_socket_t* sock = std::exchange(socket, nullptr);
     open = false;
     sock->data = nullptr;
     h2o_socket_read_stop(sock);
-    const std::shared_ptr<h2o_socket_t> last(sock, h2o_socket_close);
-    loop.Defer([&loop = loop, last, bytes = std::move(in_flight)] {
-      loop.CallAt(loop.Now(), [last, bytes] {});
-    });
+    loop.CallAfterPoll(
+        [sock, bytes = std::move(in_flight)] { h2o_socket_close(sock); });
     in_flight = std::make_shared<std::string>();
   }
 
--- a/Tests/Http/http_client_test.cc
+++ b/Tests/Http/http_client_test.cc
@@ -1,13 +1,18 @@
 #include "Http/http_client.h"
 
 #include <arpa/inet.h>
+#include <h2o.h>
+#include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <ctime>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace hyssopbarrow {
@@ -47,6 +52,9 @@
 
   Address BoundAddress() const { return {"127.0.0.1", port_}; }
 
+  /// Stops accepting and answering.
+  void Stop() { loop_.CancelTimer(timer_); }
+
   /// Makes all open connections silent, or only the `count` oldest ones.
   void SilenceOpen(std::size_t count = SIZE_MAX) {
     const std::size_t n = std::min(count, connections_.size());
@@ -107,6 +115,40 @@
   TimerId timer_;
 };
 
+constexpr Duration kFreezeAfter = milliseconds(100);
+constexpr Duration kFreezeLength = milliseconds(900);
+
+/// Stops the calling thread for kFreezeLength after kFreezeAfter, in the way of
+/// SIGSTOP and SIGCONT: a call that waits is interrupted, and much later.
+class Freeze {
+ public:
+  Freeze()
+      : signaller_([thread = pthread_self()] {
+          std::this_thread::sleep_for(kFreezeAfter);
+          pthread_kill(thread, SIGUSR1);
+        }) {
+    struct sigaction action {};
+    action.sa_handler = [](int) {
+      const timespec length{
+          .tv_sec = 0,
+          .tv_nsec = std::chrono::nanoseconds(kFreezeLength).count()};
+      nanosleep(&length, nullptr);
+    };
+    sigaction(SIGUSR1, &action, nullptr);
+  }
+  ~Freeze() { signaller_.join(); }
+  Freeze(const Freeze&) = delete;
+  Freeze& operator=(const Freeze&) = delete;
+
+ private:
+  std::thread signaller_;
+};
+
+bool HasPendingSockets(const EventLoop& loop) {
+  return loop.raw()->_pending_as_client != nullptr ||
+         loop.raw()->_pending_as_server != nullptr;
+}
+
 /// A client of one server, with the timeouts that it has reported.
 struct ClientFixture {
   explicit ClientFixture(std::uint64_t idle_timeout_ms = 5000)
@@ -231,5 +273,74 @@
   CHECK(fixture.server.accepted == 2);
 }
 
+// review/11: a freeze interrupted a wait, and the timers that were due closed a
+// socket of h2o's pending list, over which the process then looped for ever.
+TEST_CASE("timers that are due after a freeze find no pending sockets") {
+  ClientFixture fixture;
+  fixture.OpenConnections(1);
+  fixture.server.Stop();
+  fixture.Run(milliseconds(5));
+  fixture.Send("/", kTestTimeout);
+  REQUIRE(HasPendingSockets(fixture.loop));
+  std::optional<bool> pending;
+  fixture.loop.CallAt(SteadyNow() + kFreezeAfter + kFreezeLength / 2,
+                      [&] { pending = HasPendingSockets(fixture.loop); });
+  const Freeze freeze;
+  while (!pending.has_value()) fixture.loop.RunOnce(SteadyNow() + seconds(5));
+  CHECK(pending == false);
+  CHECK(fixture.loop.interrupted_waits() == 1);
+}
+
+// Guards against a request from outside the loop whose response is not read
+// before the next event.
+TEST_CASE("the loop does not wait while a socket is pending") {
+  ClientFixture fixture;
+  fixture.OpenConnections(1);
+  fixture.server.Stop();
+  fixture.Run(milliseconds(5));
+  fixture.Send("/", kTestTimeout);
+  bool waited = false;
+  fixture.loop.CallAt(SteadyNow() + milliseconds(500), [&] { waited = true; });
+  fixture.loop.RunOnce(SteadyNow() + seconds(5));
+  CHECK_FALSE(waited);
+  CHECK_FALSE(HasPendingSockets(fixture.loop));
+}
+
+// Guards against the fault of review/11 without a freeze: a socket that is
+// closed after a request was sent on it, before h2o polls. The process crashes
+// or hangs.
+TEST_CASE("an exchange can be cancelled as soon as it is sent") {
+  ClientFixture fixture;
+  for (int n = 0; n < 100; ++n) {
+    fixture.OpenConnections(1);
+    fixture.client.Cancel(
+        fixture.client.Send({.address = fixture.server.BoundAddress(),
+                             .request = {.method = "GET", .path = "/"},
+                             .deadline = SteadyNow() + kTestTimeout},
+                            [](TransferResult, const HttpResponse&) {}));
+    while (fixture.server.OpenCount() > 0) fixture.Run(milliseconds(5));
+  }
+}
+
+// The same for the client's destructor.
+TEST_CASE("a client can be destroyed as soon as it has sent a request") {
+  EventLoop loop;
+  Server server(loop);
+  for (int n = 0; n < 100; ++n) {
+    HttpClient client(loop, HttpClientLimits{});
+    int answered = 0;
+    const auto send = [&] {
+      client.Send({.address = server.BoundAddress(),
+                   .request = {.method = "GET", .path = "/"},
+                   .deadline = SteadyNow() + kTestTimeout},
+                  [&](TransferResult, const HttpResponse&) { ++answered; });
+    };
+    send();
+    while (answered == 0) loop.RunOnce(SteadyNow() + milliseconds(20));
+    send();
+  }
+  while (server.OpenCount() > 0) loop.RunOnce(SteadyNow() + milliseconds(20));
+}
+
 }  // namespace
 }  // namespace hyssopbarrow
