Fleet: Send no host request after the owner may have been replaced

After a freeze the loop handles events before timers, so that a connection that was being opened to the host provider is used although the deadline of its request has passed: an owner that was replaced meanwhile moved or maintained a host of its successor.

HttpClient sends nothing after a request's deadline, nor after its latest_send, which for host requests is the end of the owner's lease. Such a request is reported as not sent, and the host is asked for again; until now a provider that refused connections left the request open for 15 s as one without a reply.

The test "nothing is sent after the latest time to send" is new. Whether a freeze falls between connecting and sending was not played.

--- a/Source/Http/http_client.cc
+++ b/Source/Http/http_client.cc
@@ -84,6 +84,7 @@
     std::string request_text;
     h2o_iovec_t write_buffer{};
     TimerId timer;
+    Instant latest_send;
     Instant transfer_deadline;
     bool sent = false;
     bool progressed = false;  ///< Since `timer` was set.
@@ -259,6 +260,10 @@
       Finish(exchange, TransferResult::kNotConnected);
       return nullptr;
     }
+    if (SteadyNow() >= exchange.latest_send) {
+      Finish(exchange, TransferResult::kNotConnected);
+      return nullptr;
+    }
     exchange.sent = true;
     exchange.write_buffer = h2o_iovec_init(exchange.request_text.data(),
                                            exchange.request_text.size());
@@ -406,6 +411,7 @@
   exchange->address = request.address;
   exchange->request_text = FormatRequest(request);
   exchange->callback = std::move(callback);
+  exchange->latest_send = std::min(request.latest_send, request.deadline);
   exchange->transfer_deadline = request.transfer_deadline;
   impl_->SetDeadline(*exchange, request.deadline);
   Impl::Exchange& started =
--- a/Source/Http/http_client.h
+++ b/Source/Http/http_client.h
@@ -25,6 +25,9 @@
   Address address;
   HttpRequest request;
   Instant deadline;
+  /// Nothing is sent after this time, nor after `deadline`: after a freeze the
+  /// connection may be there before either has been noticed.
+  Instant latest_send = Instant::max();
   /// A response that is arriving at `deadline` may take until then, as long as
   /// further parts of it arrive. No effect if it is not after `deadline`.
   Instant transfer_deadline{};
--- a/Source/Policy/fleet_effects.cc
+++ b/Source/Policy/fleet_effects.cc
@@ -64,6 +64,8 @@
       return "invalid";
     case HostRequestResult::kLimited:
       return "limited";
+    case HostRequestResult::kNotSent:
+      return "not_sent";
     case HostRequestResult::kNoReply:
       return "no_reply";
   }
--- a/Source/Policy/fleet_effects.h
+++ b/Source/Policy/fleet_effects.h
@@ -208,6 +208,8 @@
   std::string pool;       ///< Destination of a move; empty for maintenance.
   std::int64_t wave = 0;  ///< Of a maintenance; 0 for a move.
   std::int64_t fencing_token = 0;
+  /// The request must not be sent later: the sender may have been replaced.
+  Instant latest_send{};
 };
 
 enum class HostRequestResult {
@@ -217,6 +219,7 @@
   kWrongWave,
   kInvalid,
   kLimited,
+  kNotSent,  ///< No connection in time; nothing was sent.
   kNoReply
 };
 
--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -265,6 +265,7 @@
   RecordHostRequestSent(owner_, host.host.name, now());
   HostRequest request{.id = host.pending_request, .host = host.host.name};
   request.fencing_token = owner_.epoch;
+  request.latest_send = owner_.host_requests_allowed_until;
   if (host.operation == HostOperation::kMove) {
     request.pool = host.destination;
   } else {
@@ -372,6 +373,10 @@
       for (auto& [target_id, target] : owner.targets) {
         if (target.entry.host == name) target.reserved = false;
       }
+    } else if (result == HostRequestResult::kNotSent) {
+      // An earlier request for the operation may have got no reply.
+      const HostRecord& record = owner.host_manager.records[name];
+      host.request_sent = record.unanswered_until > context.time.now;
     } else if (ends_move || result == HostRequestResult::kLimited ||
                result == HostRequestResult::kFenced) {
       host.request_sent = false;
--- a/Tests/Http/http_client_test.cc
+++ b/Tests/Http/http_client_test.cc
@@ -273,6 +273,25 @@
   CHECK(fixture.server.accepted == 2);
 }
 
+// Guards against a request that is sent seconds late, because the connection
+// was there before the deadline was noticed.
+TEST_CASE("nothing is sent after the latest time to send") {
+  ClientFixture fixture;
+  fixture.OpenConnections(1);
+  const bool late = GENERATE(false, true);
+  const Instant latest_send =
+      SteadyNow() + (late ? -milliseconds(1) : kTestTimeout);
+  fixture.client.Send({.address = fixture.server.BoundAddress(),
+                       .request = {.method = "GET", .path = "/"},
+                       .deadline = SteadyNow() + kTestTimeout,
+                       .latest_send = latest_send},
+                      [&](TransferResult result, const HttpResponse&) {
+                        fixture.results.push_back(result);
+                      });
+  CHECK(fixture.Await(2) ==
+        (late ? TransferResult::kNotConnected : TransferResult::kComplete));
+}
+
 // review/11: a freeze interrupted a wait, and the timers that were due closed a
 // socket of h2o's pending list, over which the process then looped for ever.
 TEST_CASE("timers that are due after a freeze find no pending sockets") {
