Policy: Start nothing on a host that a request may take out of service

A request to move or maintain a host may be carried out after its owner has been replaced. Its successor sent no request for such a host, but started tasks on its target, which the late request ends: AVAIL if others of their step are away. The same owner did so, too: the view of an idle target is removed while its entry is missing, as after an outage of the store, and with it the mark that it is being emptied; the entry was used as a new one although the request was on its way.

Targets are reserved as their entry is found, and while an earlier owner's request for their host may be carried out (15 s).

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -164,7 +164,10 @@
 }
 
 void HostPlanner::PlanRound() {
-  for (auto& [name, host] : host_manager_.hosts) FinishOperation(host);
+  for (auto& [name, host] : host_manager_.hosts) {
+    FinishOperation(host);
+    ReserveForEarlierRequest(host);
+  }
   IndexHosts();
   for (auto& [number, wave] : host_manager_.waves) PlanWave(number, wave);
   LeaveEvacuatedDataCentres();
@@ -208,6 +211,16 @@
   owner_.placement_due = true;
 }
 
+void HostPlanner::ReserveForEarlierRequest(HostView& host) {
+  if (host.operation != HostOperation::kNone) return;
+  TargetView* target = FindTargetOn(host);
+  if (target == nullptr) return;
+  const bool reserved = MustStayEmpty(owner_, target->entry, now());
+  if (target->reserved == reserved) return;
+  target->reserved = reserved;
+  owner_.placement_due = true;
+}
+
 void HostPlanner::ReserveHost(HostView& host, HostOperation operation) {
   host.operation = operation;
   host.request_sent = false;
--- a/Source/Policy/host_planner.h
+++ b/Source/Policy/host_planner.h
@@ -43,6 +43,9 @@
   void FinishOperation(HostView& host);
   /// Ends the host's operation and allows tasks on its target again.
   void ReleaseHost(HostView& host);
+  /// Keeps tasks off a host that a request of an earlier owner may take out of
+  /// service, and allows them again after that.
+  void ReserveForEarlierRequest(HostView& host);
   /// Begins `operation` on a host: stops the placement of tasks on it so that
   /// it becomes empty.
   void ReserveHost(HostView& host, HostOperation operation);
--- a/Source/Policy/host_records.cc
+++ b/Source/Policy/host_records.cc
@@ -47,6 +47,27 @@
          now >= it->second.keep_until;
 }
 
+bool MustStayEmpty(const Owner& owner, const Target& target, Instant now) {
+  const HostManager& manager = owner.host_manager;
+  auto record = manager.records.find(target.host);
+  const bool open_for_earlier_owner =
+      record != manager.records.end() && record->second.open &&
+      record->second.epoch != owner.epoch && now < record->second.keep_until;
+  if (open_for_earlier_owner) return true;
+  auto it = manager.hosts.find(target.host);
+  if (it == manager.hosts.end()) return false;
+  const HostView& host = it->second;
+  switch (host.operation) {
+    case HostOperation::kNone:
+      return false;
+    case HostOperation::kMove:
+      return target.pool != host.destination;
+    case HostOperation::kMaintenance:
+      return !manager.waves.at(host.wave).done_hosts.contains(target.host);
+  }
+  return false;
+}
+
 bool EnsureRequestRecorded(Owner& owner, const std::string& host) {
   HostManager& manager = owner.host_manager;
   HostRecord& record = manager.records[host];
--- a/Source/Policy/host_records.h
+++ b/Source/Policy/host_records.h
@@ -24,6 +24,10 @@
 bool IsFreeOfEarlierRequests(const Owner& owner, const std::string& host,
                              Instant now);
 
+/// True if the host of the target is being emptied, or a request of an earlier
+/// owner may still take it out of service, which would end what runs there.
+bool MustStayEmpty(const Owner& owner, const Target& target, Instant now);
+
 /// Returns true if the store holds that a request for the host may be on its
 /// way. Otherwise has the next commit store it.
 bool EnsureRequestRecorded(Owner& owner, const std::string& host);
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -196,6 +196,12 @@
                       owner.targets_loaded && context.configuration != nullptr;
   if (!loaded) return;
   owner.ready = true;
+  // The tables of targets and of records are read at the same time.
+  for (auto& [id, target] : owner.targets) {
+    if (MustStayEmpty(owner, target.entry, context.time.now)) {
+      target.reserved = true;
+    }
+  }
   RecountWaitingJobs(owner);
   owner.next_full_round = context.time.now;
   ScheduleRound(owner, context.time.now);
@@ -392,6 +398,12 @@
     target.listed = true;
     target.evacuated =
         owner.evacuation.data_centres.contains(entry.data_centre);
+    // The view of a target that is being emptied may have been removed while
+    // its entry was missing.
+    const bool new_entry = inserted || replaced || known_by_assignment_only;
+    if (new_entry && MustStayEmpty(owner, target.entry, context.time.now)) {
+      target.reserved = true;
+    }
     if (inserted || replaced) {
       AddToNextRound(owner, target);
       continue;
--- a/Tests/Fleet/host_records_test.cc
+++ b/Tests/Fleet/host_records_test.cc
@@ -7,6 +7,7 @@
 #include "Policy/entry_internal.h"
 #include "Policy/host_manager.h"
 #include "Policy/owner_commits.h"
+#include "Policy/placement.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -52,6 +53,21 @@
     ApplyProgressRows(owner, rows, context);
   }
 
+  /// Lets the owner find the entry of the host's target, which is responsive.
+  TargetView& FindTarget() {
+    StoreRows rows{.status = StoreStatus::kOk};
+    rows.targets.push_back({.id = kHostName,
+                            .pool = "desk",
+                            .host = kHostName,
+                            .started_unix_ms = 1,
+                            .capacity = {.cpu_milli = 16'000}});
+    Context context = MakeContext();
+    ApplyTargetRows(owner, rows, false, context);
+    TargetView& target = owner.targets[kHostName];
+    target.synced = true;
+    return target;
+  }
+
   /// Lets the owner act for `duration`. The store answers each commit with
   /// `status`.
   void Run(Duration duration, StoreStatus status = StoreStatus::kOk) {
@@ -176,6 +192,52 @@
   CHECK(fleet.CountRequests() == 1);
 }
 
+// Guards against AVAIL: a request of the former owner, carried out late, ended
+// tasks that its successor had started on the host.
+TEST_CASE("nothing is started where an earlier request may be carried out") {
+  Successor fleet;
+  fleet.owner.targets.erase(kHostName);
+  fleet.Restore({{"epoch", 1}, {"open", true}});
+  TargetView& target = fleet.FindTarget();
+  fleet.Run(milliseconds(14'900));
+  CHECK_FALSE(IsUsable(target, fleet.now));
+  fleet.Run(milliseconds(500));
+  fleet.Reply(HostRequestResult::kInvalid);
+  CHECK(IsUsable(target, fleet.now));
+}
+
+// Guards against AVAIL: the entry of a target was missing for a moment while a
+// request for its host was on its way, and tasks were started there.
+TEST_CASE("a target that is found again stays reserved for a host request") {
+  Successor fleet;
+  fleet.Run(milliseconds(300));
+  REQUIRE(fleet.CountRequests() == 1);
+  fleet.owner.targets.erase(kHostName);
+  TargetView& target = fleet.FindTarget();
+  CHECK_FALSE(IsUsable(target, fleet.now));
+  SECTION("the request has got no reply") {
+    fleet.Reply(HostRequestResult::kNoReply);
+    fleet.Run(seconds(1));
+    CHECK_FALSE(IsUsable(target, fleet.now));
+  }
+  SECTION("the request is refused") {
+    fleet.Reply(HostRequestResult::kInvalid);
+    CHECK(IsUsable(target, fleet.now));
+  }
+}
+
+// Guards against LIMIT: a request without a reply may still be carried out,
+// although the next one could not be sent.
+TEST_CASE("a request that was not sent leaves an earlier one open") {
+  Successor fleet;
+  fleet.Run(milliseconds(300));
+  const bool unanswered = GENERATE(false, true);
+  if (unanswered) fleet.Reply(HostRequestResult::kNoReply);
+  fleet.Run(milliseconds(500));
+  fleet.Reply(HostRequestResult::kNotSent);
+  CHECK(fleet.owner.host_manager.hosts[kHostName].request_sent == unanswered);
+}
+
 // Guards against records that wait for ever after a commit was refused.
 TEST_CASE("records are stored while the size of commits is limited") {
   Successor fleet;
