Policy: Let a new owner reach targets whose entries are missing

Cause: entries lapse while the store is down. The owner that was there before goes on extending leases, but a new one knew only the ids of the targets on which tasks are recorded, and waited for their entries. A lease lasts 4.5 s and the former owner extends it for the last time up to 1.4 s before it ends, so that little more than the 2 s in which entries are to be back are left.

The progress rows of long-running tasks now hold the address of their target, in the space reserved for its id, and a new owner polls it at once. A target with runs whose capacity is unknown no longer counts as idle when a wave chooses hosts.

Test: "a new owner reaches targets whose entries are missing"; it fails without the address.

--- a/Source/Policy/host_manager.cc
+++ b/Source/Policy/host_manager.cc
@@ -235,7 +235,9 @@
 
 double HostPlanner::CpuUtilization(const HostView& host) {
   const TargetView* target = FindTargetOn(host);
-  if (target == nullptr || target->entry.capacity.cpu_milli == 0) return 0;
+  if (target == nullptr || target->runs.empty()) return 0;
+  // The capacity of a target whose entry is missing is unknown.
+  if (target->entry.capacity.cpu_milli == 0) return 1;
   return static_cast<double>(target->used.cpu_milli) /
          static_cast<double>(target->entry.capacity.cpu_milli);
 }
--- a/Source/Policy/job_table.h
+++ b/Source/Policy/job_table.h
@@ -31,6 +31,9 @@
   std::string target;
   std::int64_t started_unix_ms = 0;  ///< Instance of the target.
   std::int64_t run = 0;
+  /// Of the target, if the task is long-running and the address fits into the
+  /// row. A new owner needs it while the target's entry is missing.
+  std::string address{};
 
   friend bool operator==(const Assignment&, const Assignment&) = default;
 };
--- a/Source/Policy/owner.cc
+++ b/Source/Policy/owner.cc
@@ -372,9 +372,8 @@
     // target itself says so.
     const bool replaced =
         other_instance && (target.retired || target.runs.empty());
-    // RestoreAssignment adds targets without an address.
-    const bool known_by_assignment_only =
-        !inserted && target.entry.address.empty();
+    // RestoreAssignment adds targets without an entry.
+    const bool known_by_assignment_only = !inserted && !target.has_entry;
     if (known_by_assignment_only) owner.placement_due = true;
     if (inserted || replaced) {
       // A late request to the earlier instance may extend the lease.
@@ -395,7 +394,7 @@
     if (entry.started_unix_ms != 0) {
       target.described_instance = entry.started_unix_ms;
     }
-    target.listed = true;
+    target.listed = target.has_entry = true;
     target.evacuated =
         owner.evacuation.data_centres.contains(entry.data_centre);
     // The view of a target that is being emptied may have been removed while
--- a/Source/Policy/owner.h
+++ b/Source/Policy/owner.h
@@ -130,8 +130,9 @@
 /// A target as known to the owner.
 struct TargetView {
   Target entry;
-  Instant found_at{};    ///< When the owner first knew of this instance.
-  bool listed = true;    ///< In the targets table.
+  Instant found_at{};      ///< When the owner first knew of this instance.
+  bool listed = true;      ///< In the targets table.
+  bool has_entry = false;  ///< `entry` is from the targets table.
   bool retired = false;  ///< Its host was moved or taken out; it runs nothing.
   Instant retired_at{};
   bool missing = false;  ///< No host in the last host list runs it.
--- a/Source/Policy/owner_runs.cc
+++ b/Source/Policy/owner_runs.cc
@@ -5,6 +5,7 @@
 
 #include "Policy/crashes.h"
 #include "Policy/relays.h"
+#include "Policy/row_sizes.h"
 #include "Policy/target_polls.h"
 
 namespace hyssopbarrow::fleet {
@@ -49,6 +50,14 @@
   }
 }
 
+/// The address of a target for a progress row; empty if it does not fit into
+/// the space for the target's id.
+std::string StorableAddress(const Target& target) {
+  const bool fits =
+      target.id.size() + target.address.size() + 2 <= kMaxAssignmentTextBytes;
+  return fits ? target.address : "";
+}
+
 }  // namespace
 
 void Log(Context& context, Severity severity, std::string event,
@@ -95,7 +104,10 @@
   owner.team_used[run.team] += run.team_resources;
   if (Task* task = FindTask(job, name)) {
     task->assignments.push_back(
-        {target.entry.id, target.entry.started_unix_ms, number});
+        {.target = target.entry.id,
+         .started_unix_ms = target.entry.started_unix_ms,
+         .run = number,
+         .address = step.long_running ? StorableAddress(target.entry) : ""});
     task->last_run = std::max(task->last_run, number);
   }
   if (job.state == JobState::kPending) job.state = JobState::kRunning;
@@ -117,6 +129,8 @@
     target.entry.pool = job.record.pool;
     target.listed = false;
   }
+  // Without its entry, the target can only be reached where it was.
+  if (target.entry.address.empty()) target.entry.address = assignment.address;
   const bool earlier_instance =
       assignment.started_unix_ms < target.entry.started_unix_ms;
   if (target.synced) {
@@ -318,7 +332,7 @@
   const Instant now = context.time.now;
   if (target.retired || !owner.jobs_loaded) return;
   // A target that has not been polled may still report how its runs ended; one
-  // that is not listed cannot be polled.
+  // whose address is unknown cannot be polled.
   const bool unlisted =
       !target.synced && owner.targets_loaded && target.entry.address.empty();
   const bool unresponsive = unlisted || target.unanswered_polls > 0;
--- a/Source/Policy/progress_rows.cc
+++ b/Source/Policy/progress_rows.cc
@@ -43,17 +43,18 @@
   }
 }
 
-/// Lists of target, instance and run. Built by moving: initializer lists of
-/// JSON values copy them.
+/// Lists of target, instance, run and, if it is known, address. Built by
+/// moving: initializer lists of JSON values copy them.
 json AssignmentsToJson(const std::vector<Assignment>& assignments) {
   json::array_t list;
   list.reserve(assignments.size());
   for (const Assignment& assignment : assignments) {
     json::array_t fields;
-    fields.reserve(3);
+    fields.reserve(4);
     fields.emplace_back(assignment.target);
     fields.emplace_back(assignment.started_unix_ms);
     fields.emplace_back(assignment.run);
+    if (!assignment.address.empty()) fields.emplace_back(assignment.address);
     list.emplace_back(std::move(fields));
   }
   return list;
@@ -202,6 +203,7 @@
         MixInto(digest, task.assignments.size());
         for (const Assignment& assignment : task.assignments) {
           MixInto(digest, assignment.target);
+          MixInto(digest, assignment.address);
           MixInto(digest, static_cast<std::uint64_t>(assignment.run));
           MixInto(digest,
                   static_cast<std::uint64_t>(assignment.started_unix_ms));
@@ -286,10 +288,12 @@
       const auto run = ReadNumber(assignment.at(2));
       const bool valid = started_unix_ms.has_value() && run.has_value();
       if (!valid) return InvalidNumber("sent");
+      const bool has_address = assignment.size() > 3;
       task->assignments.push_back(
           {.target = assignment.at(0).get<std::string>(),
            .started_unix_ms = *started_unix_ms,
-           .run = *run});
+           .run = *run,
+           .address = has_address ? assignment.at(3).get<std::string>() : ""});
       task->last_run = std::max(task->last_run, task->assignments.back().run);
     }
   }
--- a/Source/Policy/row_sizes.cc
+++ b/Source/Policy/row_sizes.cc
@@ -9,11 +9,13 @@
 namespace {
 
 /// Most bytes of the parts of a progress row in CBOR. A number takes up to 9
-/// bytes, a name OCCURRENCE.STEP.INDEX up to 13, the id of a target up to 202.
+/// bytes, a name OCCURRENCE.STEP.INDEX up to 13, a text two besides its own.
 constexpr std::int64_t kNumberBytes = 9;
 constexpr std::int64_t kTaskNameBytes = 13;
 constexpr std::int64_t kListBytes = 3;
-constexpr std::int64_t kAssignmentBytes = 1 + 202 + 2 * kNumberBytes;
+constexpr std::int64_t kAssignmentBytes =
+    1 + 2 + static_cast<std::int64_t>(kMaxAssignmentTextBytes) +
+    2 * kNumberBytes;
 /// A task that allows copies may have two runs.
 constexpr std::int64_t kAssignmentsPerTask = 2;
 /// A job fails once one of its tasks has crashed four targets.
--- a/Source/Policy/row_sizes.h
+++ b/Source/Policy/row_sizes.h
@@ -8,6 +8,10 @@
 
 namespace hyssopbarrow::fleet {
 
+/// Most bytes of a target's id in an assignment, or of id and address with the
+/// two bytes by which CBOR marks the second text.
+constexpr std::size_t kMaxAssignmentTextBytes = 200;
+
 /// Longest checkpoint that is kept.
 constexpr std::size_t kMaxCheckpointBytes = 512;
 
--- a/Tests/Fleet/job_table_test.cc
+++ b/Tests/Fleet/job_table_test.cc
@@ -26,7 +26,7 @@
   task->crashed_runs = {{3, CrashEvidence::kUnconfirmed},
                         {1002, CrashEvidence::kCertain}};
   task->checkpoint = "0000abcd";
-  task->assignments = {{"i-1", 77, 1002}};
+  task->assignments = {{"i-1", 77, 1002}, {"i-2", 78, 1001, "10.0.0.2:80"}};
   job.state = JobState::kRunning;
   job.has_run = true;
 
@@ -43,7 +43,8 @@
   CHECK(restored_task->crashed_runs == task->crashed_runs);
   CHECK(restored_task->checkpoint == "0000abcd");
   CHECK(restored_task->assignments ==
-        std::vector<Assignment>{{"i-1", 77, 1002}});
+        std::vector<Assignment>{{"i-1", 77, 1002},
+                                {"i-2", 78, 1001, "10.0.0.2:80"}});
   CHECK(restored_task->last_run == 1002);
 }
 
--- a/Tests/Fleet/takeover_wait_test.cc
+++ b/Tests/Fleet/takeover_wait_test.cc
@@ -1,8 +1,13 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Fleet/fleet_simulation.h"
+#include "Fleet/owner_fixture.h"
+#include "Policy/owner_runs.h"
+#include "Policy/row_sizes.h"
 
 namespace hyssopbarrow::fleet {
 namespace {
@@ -92,5 +97,53 @@
   CHECK(fleet.CountRunning() == kTasks);
 }
 
+/// A new owner whose targets table is empty, because the entries have lapsed
+/// while the store was down. A long-running task is on target "i-1".
+struct OwnerWithoutEntries : OwnerFixture {
+  const Assignment assignment{"i-1", 77, 1, "10.0.0.1:80"};
+  Job& job = AddJob(kJob);
+
+  OwnerWithoutEntries() {
+    job.record.spec.steps[0].long_running = true;
+    owner.target_requests_allowed_until = now + seconds(60);
+    owner.jobs_loaded = owner.progress_loaded = owner.targets_loaded = true;
+    Context context = MakeContext();
+    RestoreAssignment(owner, job, {kJob, 0, 0, 0}, assignment, context);
+  }
+
+  /// Requests to targets that were sent to `address`.
+  std::int64_t CountRequestsTo(const std::string& address) const {
+    return std::count_if(out.begin(), out.end(), [&](const Effect& effect) {
+      const auto* request = std::get_if<TargetRequest>(&effect);
+      return request != nullptr && request->address == address;
+    });
+  }
+};
+
+// Guards against AVAIL (review/5 with a takeover): leases ended, because a new
+// owner did not know where targets were until their entries had come back.
+TEST_CASE("a new owner reaches targets whose entries are missing") {
+  OwnerWithoutEntries fixture;
+  Context context = fixture.MakeContext();
+  AdvanceOwner(fixture.owner, context);
+  CHECK(fixture.CountRequestsTo("10.0.0.1:80") == 1);
+  CHECK(fixture.job.open_occurrences[0].steps[0].tasks[0].assignments ==
+        std::vector<Assignment>{fixture.assignment});
+}
+
+// Guards against rows that exceed what the store takes.
+TEST_CASE("an address is stored only where it fits and is needed") {
+  OwnerWithoutEntries fixture;
+  fixture.job.record.spec.steps[0].long_running = GENERATE(false, true);
+  const std::string id(GENERATE(10U, 200U), 'i');
+  TargetView& target = fixture.owner.targets[id];
+  target.entry = {.id = id, .address = "10.0.0.2:80"};
+  AddRun(fixture.owner, target, fixture.job, {kJob, 0, 0, 0}, 2, fixture.now);
+  const bool stored = fixture.job.record.spec.steps[0].long_running &&
+                      id.size() + 13 <= kMaxAssignmentTextBytes;
+  CHECK(fixture.job.open_occurrences[0].steps[0].tasks[0].assignments.back() ==
+        Assignment{id, 0, 2, stored ? "10.0.0.2:80" : ""});
+}
+
 }  // namespace
 }  // namespace hyssopbarrow::fleet
